--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+GO ?= go
+TOOLS := $(CURDIR)/.tools
+GOLANGCI_LINT_VERSION := v2.15.0
+SEED ?= 1
+DURATION ?= 45s
+
+.PHONY: build demo test unit race lint fmt generate soak known-red
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+# The main job: the whole system on one machine, checked from outside.
+demo: build
+	bin/tamarackpitch-standin demo
+
+# Everything that gives the same verdict every time.
+test: lint unit race known-red
+
+unit:
+	$(GO) vet ./...
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./pkg/... ./internal/...
+
+lint: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+	@test -z "$$(gofmt -l cmd internal pkg)" || { gofmt -l cmd internal pkg; exit 1; }
+	$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION) run ./...
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $@
+
+# Real processes under random load, failures and operators; not part of the tests.
+soak: build
+	bin/tamarackpitch-standin soak --seed=$(SEED) --duration=$(DURATION)
+
+known-red:
+	@if [ -s KNOWN-RED.txt ]; then echo "known red:"; cat KNOWN-RED.txt; else echo "known red: none"; fi
--- /dev/null
+++ b/internal/app/node.go
@@ -0,0 +1,120 @@
+package app
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/adminserver"
+	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+	"github.com/tamarackpitch/tamarackpitch/internal/common"
+	"github.com/tamarackpitch/tamarackpitch/internal/controller"
+	"github.com/tamarackpitch/tamarackpitch/internal/forwarder"
+	"github.com/tamarackpitch/tamarackpitch/internal/logclient"
+	"github.com/tamarackpitch/tamarackpitch/internal/meterer"
+	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
+	"github.com/tamarackpitch/tamarackpitch/internal/requester"
+	"github.com/tamarackpitch/tamarackpitch/internal/router"
+	"github.com/tamarackpitch/tamarackpitch/internal/settings"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+const (
+	logTimeout = 2 * time.Second
+	// spreadTime lets the mesh hear that a node leaves before it stops taking calls.
+	spreadTime = time.Second
+	// gcPercent trades heap, which the memory limit bounds, for fewer collections.
+	gcPercent = 400
+)
+
+// Node runs the node command.
+type Node struct {
+	settings.Node
+}
+
+// Run serves until SIGTERM or SIGINT, then shuts down gracefully.
+func (n *Node) Run() error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(n.MemoryLimitMB) << 20)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	p, err := startNode(n.Node)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	p.shutDown()
+	return nil
+}
+
+// nodeProcess is a running node with all its parts.
+type nodeProcess struct {
+	common     *common.Common
+	forwarder  *forwarder.Forwarder
+	controller atomic.Pointer[controller.Controller]
+}
+
+func newCommon(s settings.Node) *common.Common {
+	logger := newLogger(os.Stderr, s.LogLevel).With("node", s.Name)
+	r := recorder.New(s.Name, time.Now)
+	c := checker.New(checker.Config{Logger: logger, OnViolation: func(i checker.Invariant, detail string) {
+		r.Record(recorder.Event{Name: "invariant-violated", Fields: map[string]string{"invariant": string(i), "detail": detail}})
+	}})
+	return &common.Common{Logger: logger, Settings: s, Checker: c, Recorder: r}
+}
+
+func startNode(s settings.Node) (*nodeProcess, error) {
+	p := &nodeProcess{common: newCommon(s)}
+	var err error
+	p.forwarder, err = forwarder.New(forwarder.Config{Common: p.common, ReportCrash: p.reportCrash})
+	if err != nil {
+		return nil, err
+	}
+	admin := adminserver.New(adminserver.Config{Common: p.common, Controller: p.controller.Load, Refusals: p.forwarder.Stats().Refusals})
+	engine, err := requester.NewEngine(s.AdminListen, admin)
+	if err != nil {
+		return nil, err
+	}
+	log := logclient.New(logclient.Config{URL: s.LogURL, Requester: requester.New(engine), Timeout: logTimeout})
+	k, err := controller.New(controller.Config{Common: p.common, Log: log, Self: member(s),
+		Evidence: p.forwarder, Publish: p.publish})
+	if err != nil {
+		return nil, err
+	}
+	p.controller.Store(k)
+	if _, err := meterer.New(meterer.Config{Forwarder: p.forwarder, Controller: k}); err != nil {
+		return nil, err
+	}
+	p.common.Logger.Info("node started", "zone", s.Zone, "region", s.Region, "listen", s.Listen, "admin", s.AdminListen)
+	return p, nil
+}
+
+func (p *nodeProcess) publish(view *router.Snapshot) { p.forwarder.Publish(view) }
+
+func (p *nodeProcess) reportCrash(fingerprints []uint64) {
+	if k := p.controller.Load(); k != nil {
+		k.ReportCrash(fingerprints)
+	}
+}
+
+func member(s settings.Node) *schema.Member {
+	return &schema.Member{Node: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Zone: s.Zone, Region: s.Region,
+		ControlAddress: s.ControlListen, PeerAddress: s.PeerAdvertise, AdminAddress: s.AdminListen}
+}
+
+// shutDown lets others take over, waits for the calls under way and leaves the mesh.
+func (p *nodeProcess) shutDown() {
+	p.common.Logger.Info("node leaving")
+	p.controller.Load().Leave()
+	time.Sleep(spreadTime)
+	if !p.forwarder.Drain(p.common.Settings.DrainTimeout) {
+		p.common.Logger.Warn("calls cut off by the end of the drain timeout")
+	}
+	p.controller.Load().Close()
+	p.forwarder.Close()
+	p.common.Logger.Info("node left")
+}
--- /dev/null
+++ b/internal/controller/duties.go
@@ -0,0 +1,57 @@
+package controller
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/logclient"
+	"github.com/tamarackpitch/tamarackpitch/internal/ranker"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// joinRecordInterval is how often a log reader tells new nodes where to join.
+const joinRecordInterval = 30 * time.Second
+
+// assignDuties takes up or lays down the duties that fall to this node by rendezvous hashing.
+// A duty held by two nodes at once, while their tables differ, is harmless.
+func (k *Controller) assignDuties() {
+	self := k.table.Self()
+	var zone, all []string
+	for _, m := range k.table.Usable() {
+		all = append(all, m.Node)
+		if m.Zone == self.Zone {
+			zone = append(zone, m.Node)
+		}
+	}
+	reads := ranker.IsAmongFirst("log-reader/"+self.Zone, self.Node, k.common.Settings.Readers, zone)
+	if k.reader.active.Swap(reads) != reads {
+		k.record("log-reader", map[string]string{"active": strconv.FormatBool(reads)})
+	}
+	if reads {
+		k.announceJoin(time.Now())
+	}
+	if ranker.IsAmongFirst("checkpoint-writer", self.Node, 1, all) {
+		k.writeCheckpoint()
+	}
+}
+
+func (k *Controller) announceJoin(now time.Time) {
+	if now.Before(k.start.nextJoinRecord) || !k.start.ready {
+		return
+	}
+	k.start.nextJoinRecord = now.Add(joinRecordInterval)
+	address := k.table.Self().ControlAddress
+	k.appender.queue(appendJob{stream: logclient.JoinStream, body: []byte(address), what: "join"})
+}
+
+// writeCheckpoint appends the whole state once enough records have come since the last one.
+func (k *Controller) writeCheckpoint() {
+	if !k.start.ready || k.state.Position < k.lastCheckpoint+uint64(k.common.Settings.CheckpointEvery) {
+		return
+	}
+	k.lastCheckpoint = k.state.Position
+	id := "checkpoint/" + k.table.Self().Node + "/" + strconv.FormatUint(k.state.Position, 10)
+	k.appender.queueRecord(id, &schema.Record{Id: id, Author: k.table.Self().Node, AppendedUnixMs: time.Now().UnixMilli(),
+		Body: &schema.Record_Checkpoint{Checkpoint: &schema.Checkpoint{State: k.state.Encode()}}})
+	k.record("checkpoint-written", map[string]string{"position": strconv.FormatUint(k.state.Position, 10)})
+}
--- /dev/null
+++ b/internal/controller/links.go
@@ -0,0 +1,364 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/gossiper"
+	"github.com/tamarackpitch/tamarackpitch/internal/ranker"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+const (
+	// maxLinks bounds the links of a node, incoming ones included.
+	maxLinks = 24
+	// redialAfter is the least time between two dials of one address.
+	redialAfter = time.Second
+	// mismatchesToCompare is how many heartbeats in a row must differ before the tables are compared.
+	mismatchesToCompare = 3
+	pullTimeout         = 500 * time.Millisecond
+)
+
+// linkState is what the loop knows of a link.
+type linkState struct {
+	node       string
+	lastHeard  time.Time
+	pulledAt   time.Time
+	mismatches int
+	// reported is set once the neighbour's silence has led to a suspicion.
+	reported bool
+	// parted is set once the neighbour has said that it will end the link.
+	parted bool
+}
+
+func (k *Controller) handleEvent(e gossiper.Event) {
+	now := time.Now()
+	switch e.Kind {
+	case gossiper.LinkOpened:
+		k.openLink(e.Link, now)
+	case gossiper.LinkClosed:
+		k.closeLink(e.Link, now)
+	case gossiper.DialFailed:
+		k.dialFailed(e.Address, now)
+	case gossiper.FrameReceived:
+		if s, ok := k.links[e.Link]; ok {
+			s.lastHeard = now
+			s.reported = false
+			k.handleFrame(e.Link, s, e.Frame, now)
+		}
+	case gossiper.ReportReceived:
+		k.observeReport(e.Report, now)
+	}
+}
+
+func (k *Controller) openLink(l *gossiper.Link, now time.Time) {
+	node := l.Hello.Member.Node
+	if node == k.table.Self().Node || len(k.links) >= maxLinks {
+		k.refuseLink(l)
+		return
+	}
+	s := &linkState{node: node, lastHeard: now}
+	k.links[l] = s
+	k.start.hear(node, l.Hello.Position)
+	// The new neighbour hears of open rollouts and crashes at once, and of this node itself.
+	f := k.frame()
+	f.Members = []*schema.Member{k.table.Self()}
+	for _, p := range k.progress {
+		f.Progress = append(f.Progress, p)
+	}
+	f.CrashMarks = k.crashMarks()
+	f.Heartbeat = k.heartbeat()
+	l.Send(f)
+	k.mergeMembers(l, []*schema.Member{l.Hello.Member}, now)
+	if l.Hello.Position > k.state.Position {
+		k.pull(l, s, now)
+	}
+}
+
+// refuseLink names other peers and ends the link.
+func (k *Controller) refuseLink(l *gossiper.Link) {
+	k.part(l, k.someAddresses())
+}
+
+// part ends a link so that the neighbour does not take it for a failure.
+func (k *Controller) part(l *gossiper.Link, addresses []string) {
+	const partTime = 200 * time.Millisecond
+	delete(k.links, l)
+	f := k.frame()
+	f.Parting = &schema.Parting{ControlAddresses: addresses}
+	l.Send(f)
+	time.AfterFunc(partTime, l.Close)
+}
+
+func (k *Controller) someAddresses() []string {
+	const few = 8
+	members := k.table.Usable()
+	var addresses []string
+	for range few {
+		addresses = append(addresses, members[k.random.IntN(len(members))].ControlAddress)
+	}
+	return addresses
+}
+
+func (k *Controller) closeLink(l *gossiper.Link, now time.Time) {
+	s, ok := k.links[l]
+	if !ok {
+		return
+	}
+	delete(k.links, l)
+	if !s.parted && !k.isLinked(s.node) {
+		// A closed link is no proof of death: dial again, and suspect if that fails.
+		if m := k.table.Get(s.node); m != nil && isUsable(m) {
+			k.dial(m.ControlAddress, now)
+		}
+	}
+}
+
+func (k *Controller) dialFailed(address string, now time.Time) {
+	for _, m := range k.table.Usable() {
+		if m.ControlAddress == address {
+			k.suspect(m.Node, now)
+		}
+	}
+}
+
+func (k *Controller) suspect(node string, now time.Time) {
+	if m := k.table.Suspect(node, now); m != nil {
+		k.record("member-suspected", map[string]string{"member": node})
+		k.spreadMembers(nil, m)
+	}
+}
+
+func isUsable(m *schema.Member) bool {
+	return m.Status == schema.MemberStatus_MEMBER_STATUS_ALIVE || m.Status == schema.MemberStatus_MEMBER_STATUS_SUSPECT
+}
+
+func (k *Controller) isLinked(node string) bool {
+	for _, s := range k.links {
+		if s.node == node {
+			return true
+		}
+	}
+	return false
+}
+
+// checkLinks suspects silent neighbours and ends their links.
+func (k *Controller) checkLinks(now time.Time) {
+	for l, s := range k.links {
+		silence := now.Sub(s.lastHeard)
+		if silence < k.common.Settings.SuspectAfter {
+			continue
+		}
+		if !s.reported {
+			s.reported = true
+			k.suspect(s.node, now)
+		}
+		l.Close()
+	}
+}
+
+func (k *Controller) heartbeat() *schema.Heartbeat {
+	return &schema.Heartbeat{Position: k.state.Position, StateDigest: k.digest, MemberDigest: k.table.Digest()}
+}
+
+func (k *Controller) sendHeartbeats() {
+	f := k.frame()
+	f.Heartbeat = k.heartbeat()
+	k.broadcast(f, nil)
+}
+
+func (k *Controller) handleFrame(l *gossiper.Link, s *linkState, f *schema.Frame, now time.Time) {
+	if f.Heartbeat != nil {
+		k.handleHeartbeat(l, s, f.Heartbeat, now)
+	}
+	if len(f.Members) > 0 {
+		k.mergeMembers(l, f.Members, now)
+	}
+	if len(f.Records) > 0 {
+		k.receiveRecords(l, s, f.Records, now)
+	}
+	if f.Pull != nil {
+		k.answerPull(l, f.Pull)
+	}
+	if f.Snapshot != nil {
+		k.adoptSnapshot(f.Snapshot, now)
+	}
+	if f.BucketDigests != nil {
+		k.answerDigests(l, f.BucketDigests)
+	}
+	for _, p := range f.Progress {
+		k.mergeProgress(p, l)
+	}
+	if len(f.CrashMarks) > 0 {
+		k.mergeCrashes(f.CrashMarks, l, now)
+	}
+	if f.Busy != nil {
+		k.dialAll(f.Busy.ControlAddresses, now)
+	}
+	if f.Parting != nil {
+		s.parted = true
+		k.dialAll(f.Parting.ControlAddresses, now)
+	}
+}
+
+func (k *Controller) handleHeartbeat(l *gossiper.Link, s *linkState, h *schema.Heartbeat, now time.Time) {
+	k.start.hear(s.node, h.Position)
+	if h.Position > k.state.Position && now.Sub(s.pulledAt) >= pullTimeout {
+		k.pull(l, s, now)
+	}
+	if h.Position == k.state.Position && h.StateDigest != k.digest {
+		k.record("state-digest-mismatch", map[string]string{"neighbour": s.node})
+	}
+	if h.MemberDigest == k.table.Digest() {
+		s.mismatches = 0
+		return
+	}
+	s.mismatches++
+	if s.mismatches >= mismatchesToCompare || k.table.Len() < 3 {
+		s.mismatches = 0
+		f := k.frame()
+		f.BucketDigests = &schema.BucketDigests{Digests: k.table.BucketDigests()}
+		l.Send(f)
+	}
+}
+
+// answerDigests sends the members in which the tables differ. The neighbour's own
+// heartbeat makes it ask in turn for what it has and this node lacks.
+func (k *Controller) answerDigests(l *gossiper.Link, d *schema.BucketDigests) {
+	const membersPerFrame = 512
+	members := k.table.Differing(d.Digests)
+	for len(members) > 0 {
+		n := min(len(members), membersPerFrame)
+		f := k.frame()
+		f.Members = members[:n]
+		l.Send(f)
+		members = members[n:]
+	}
+}
+
+func (k *Controller) mergeMembers(from *gossiper.Link, members []*schema.Member, now time.Time) {
+	var changed []*schema.Member
+	for _, m := range members {
+		before := k.table.Get(m.GetNode())
+		merged := k.table.Merge(m, now)
+		if merged == nil {
+			continue
+		}
+		k.view.touch(before)
+		k.view.touch(merged)
+		if before == nil || before.Status != merged.Status {
+			k.record("member-"+statusName(merged.Status), map[string]string{"member": merged.Node})
+		}
+		if merged.Node == k.table.Self().Node {
+			k.publishHello()
+			k.spreadMembers(nil, merged)
+			continue
+		}
+		changed = append(changed, merged)
+	}
+	k.spreadMembers(from, changed...)
+}
+
+func statusName(s schema.MemberStatus) string {
+	switch s {
+	case schema.MemberStatus_MEMBER_STATUS_ALIVE:
+		return "alive"
+	case schema.MemberStatus_MEMBER_STATUS_SUSPECT:
+		return "suspect"
+	case schema.MemberStatus_MEMBER_STATUS_DEAD:
+		return "dead"
+	}
+	return "left"
+}
+
+func (k *Controller) spreadMembers(except *gossiper.Link, members ...*schema.Member) {
+	if len(members) == 0 {
+		return
+	}
+	for _, m := range members {
+		k.view.touch(m)
+	}
+	f := k.frame()
+	f.Members = members
+	k.broadcast(f, except)
+}
+
+// chooseNeighbours keeps a few outgoing links: the successor on the hash ring, which keeps
+// the overlay connected, one member of the own zone and one of another zone, both by rendezvous hashing.
+func (k *Controller) chooseNeighbours(now time.Time) {
+	self := k.table.Self()
+	others := make([]*schema.Member, 0, k.table.Len())
+	for _, m := range k.table.Usable() {
+		if m.Node != self.Node {
+			others = append(others, m)
+		}
+	}
+	wanted := map[string]bool{}
+	for _, m := range neighbours(self, others) {
+		wanted[m.Node] = true
+		if !k.isLinked(m.Node) {
+			k.dial(m.ControlAddress, now)
+		}
+	}
+	for l, s := range k.links {
+		if l.Outgoing && !wanted[s.node] && len(k.links) > len(wanted)+1 && k.start.ready {
+			k.part(l, nil)
+		}
+	}
+	if len(k.links) == 0 {
+		for _, p := range k.common.Settings.Peers {
+			k.dial(p, now)
+		}
+	}
+}
+
+func neighbours(self *schema.Member, others []*schema.Member) []*schema.Member {
+	var successor, own, other *schema.Member
+	var gap, ownScore, otherScore uint64
+	position := ranker.Score("ring", self.Node)
+	for _, m := range others {
+		if d := ranker.Score("ring", m.Node) - position; successor == nil || d < gap {
+			successor, gap = m, d
+		}
+	}
+	for _, m := range others {
+		if m == successor {
+			continue
+		}
+		score := ranker.Score(self.Node, m.Node)
+		if m.Zone == self.Zone && (own == nil || score > ownScore) {
+			own, ownScore = m, score
+		}
+		if m.Zone != self.Zone && (other == nil || score > otherScore) {
+			other, otherScore = m, score
+		}
+	}
+	var chosen []*schema.Member
+	for _, m := range []*schema.Member{successor, own, other} {
+		if m != nil {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+func (k *Controller) dialAll(addresses []string, now time.Time) {
+	for _, a := range addresses {
+		k.dial(a, now)
+	}
+}
+
+func (k *Controller) dial(address string, now time.Time) {
+	if address == "" || address == k.table.Self().ControlAddress {
+		return
+	}
+	if now.Sub(k.dialing[address]) < redialAfter {
+		return
+	}
+	k.dialing[address] = now
+	for a, t := range k.dialing {
+		if now.Sub(t) > time.Minute {
+			delete(k.dialing, a)
+		}
+	}
+	k.gossiper.Dial(address)
+}
--- /dev/null
+++ b/internal/controller/query.go
@@ -0,0 +1,128 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/roller"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// Status is what one node tells operators.
+type Status struct {
+	Node       string          `json:"node"`
+	Zone       string          `json:"zone"`
+	Region     string          `json:"region"`
+	Ready      bool            `json:"ready"`
+	Reason     string          `json:"reason,omitempty"`
+	Version    uint64          `json:"version"`
+	Position   uint64          `json:"position"`
+	Preset     string          `json:"preset"`
+	Service    string          `json:"service,omitempty"`
+	Upstream   string          `json:"upstream-version,omitempty"`
+	Draining   bool            `json:"draining"`
+	Members    int             `json:"members"`
+	Links      int             `json:"links"`
+	LogReader  bool            `json:"log-reader"`
+	Violations uint64          `json:"invariant-violations"`
+	Violation  string          `json:"last-violation,omitempty"`
+	BytesIn    uint64          `json:"control-bytes-in"`
+	BytesOut   uint64          `json:"control-bytes-out"`
+	Rollouts   []RolloutStatus `json:"rollouts"`
+}
+
+// RolloutStatus tells how a rollout stands.
+type RolloutStatus struct {
+	Name           string  `json:"name"`
+	Service        string  `json:"service"`
+	From           string  `json:"from"`
+	To             string  `json:"to"`
+	DeadlineUnixMs int64   `json:"deadline-unix-ms"`
+	Phase          string  `json:"phase"`
+	Share          float64 `json:"share"`
+	AtRisk         bool    `json:"at-risk,omitempty"`
+	Reason         string  `json:"reason,omitempty"`
+}
+
+// CompareRollouts orders rollouts by deadline, then by name.
+func CompareRollouts(a, b RolloutStatus) int {
+	return cmp.Or(cmp.Compare(a.DeadlineUnixMs, b.DeadlineUnixMs), cmp.Compare(a.Name, b.Name))
+}
+
+// MemberStatus is one member as operators see it.
+type MemberStatus struct {
+	Node     string `json:"node"`
+	Zone     string `json:"zone"`
+	Region   string `json:"region"`
+	Status   string `json:"status"`
+	Admin    string `json:"admin-address"`
+	Service  string `json:"service,omitempty"`
+	Version  string `json:"version,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
+}
+
+// Status returns the node's status.
+func (k *Controller) Status() Status {
+	var s Status
+	k.do(func() {
+		self := k.table.Self()
+		view := k.Snapshot()
+		s = Status{Node: self.Node, Zone: self.Zone, Region: self.Region, Ready: view.Ready, Reason: view.Reason,
+			Version: k.state.Version, Position: k.state.Position, Preset: k.state.ActivePreset, Service: self.Service,
+			Upstream: self.Version, Draining: self.Draining || k.state.DrainedNodes[self.Node],
+			Members: len(k.table.Usable()), Links: len(k.links), LogReader: k.reader.active.Load()}
+		for _, r := range k.state.Rollouts {
+			s.Rollouts = append(s.Rollouts, k.rolloutStatus(r))
+		}
+	})
+	slices.SortFunc(s.Rollouts, CompareRollouts)
+	s.Violations, s.Violation = k.common.Checker.Violations()
+	s.BytesOut, s.BytesIn = k.gossiper.Meter().Totals()
+	return s
+}
+
+func (k *Controller) rolloutStatus(r *schema.Rollout) RolloutStatus {
+	s := RolloutStatus{Name: r.Name, Service: r.Service, From: r.From, To: r.To, DeadlineUnixMs: r.DeadlineUnixMs, Reason: r.Reason}
+	switch r.Phase {
+	case schema.RolloutPhase_ROLLOUT_PHASE_COMPLETED:
+		s.Phase, s.Share = "completed", 1
+		return s
+	case schema.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK:
+		s.Phase = "rolled-back"
+		return s
+	}
+	s.Phase = "open"
+	s.Share = k.share(r)
+	if p := k.progress[r.Name]; p != nil && p.RolledBack {
+		s.Phase, s.Reason = "rolling-back", p.Reason
+	}
+	if t := k.trials[r.Name]; t != nil {
+		s.AtRisk = t.atRisk
+	}
+	if s.Phase == "open" && int(k.step(r)) == roller.LastStep(k.state.Preset()) {
+		s.Phase = "watching"
+	}
+	return s
+}
+
+// Members returns all remembered members, sorted by name.
+func (k *Controller) Members() []MemberStatus {
+	var all []*schema.Member
+	k.do(func() { all = k.table.Usable() })
+	slices.SortFunc(all, compareNames)
+	members := make([]MemberStatus, len(all))
+	for i, m := range all {
+		members[i] = MemberStatus{Node: m.Node, Zone: m.Zone, Region: m.Region, Status: statusName(m.Status),
+			Admin: m.AdminAddress, Service: m.Service, Version: m.Version, Draining: m.Draining}
+	}
+	return members
+}
+
+// EncodedState returns the configuration state as a message.
+func (k *Controller) EncodedState() ([]byte, error) {
+	var state *schema.State
+	k.do(func() { state = k.state.Encode() })
+	return proto.Marshal(state)
+}
--- /dev/null
+++ b/internal/forwarder/answer.go
@@ -0,0 +1,166 @@
+package forwarder
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+)
+
+// maxCapturedBytes bounds the body of an answer that is kept.
+const maxCapturedBytes = 64 << 10
+
+// answer is an answer that is kept for callers that ask again.
+type answer struct {
+	message *message
+	body    []byte
+	// tooLong tells that the body did not fit and is not there.
+	tooLong bool
+}
+
+// writeHead sends the head of an answer to the caller.
+func (x *exchange) writeHead(m *message, fromPeer bool) {
+	x.forwarder.common.Checker.Assert(!x.headSent && !x.ended, checker.OneAnswer, "second answer to call %x", x.id)
+	x.headSent = true
+	x.lastByte = time.Now()
+	if !x.idempotent && (x.entry != nil || x.keyEntry != nil) {
+		x.capture = &answer{message: captured(m, fromPeer)}
+	}
+	if x.caller == nil {
+		return
+	}
+	var b bytes.Buffer
+	b.Grow(512)
+	writeStatus(&b, m.status, m.reason)
+	writeFields(&b, m.forwarded())
+	if fromPeer {
+		copyField(&b, m, headerRun)
+		copyField(&b, m, headerRefusal)
+	}
+	x.writeFraming(&b, m)
+	x.caller.conn.write(b.Bytes())
+}
+
+// captured returns the head that is kept. An upstream's copies of this system's own lines are left out.
+func captured(m *message, fromPeer bool) *message {
+	if fromPeer {
+		return m
+	}
+	kept := *m
+	kept.header = m.forwarded()
+	return &kept
+}
+
+func copyField(b *bytes.Buffer, m *message, key string) {
+	if v := m.get(key); v != "" {
+		writeField(b, key, v)
+	}
+}
+
+// writeFraming ends a head with the lines that concern the caller's connection.
+func (x *exchange) writeFraming(b *bytes.Buffer, m *message) {
+	length := m.length
+	noBody := bodyless(m.status) || x.request.message.method == http.MethodHead
+	x.chunkedOut = length < 0 && !noBody
+	if x.chunkedOut && x.request.message.proto == "HTTP/1.0" {
+		x.chunkedOut = false
+		x.closeAfter = true
+	}
+	writeLength(b, length, x.chunkedOut)
+	if x.closeAfter {
+		writeField(b, headerConnection, "close")
+	} else if x.request.message.proto == "HTTP/1.0" {
+		writeField(b, headerConnection, "keep-alive")
+	}
+	if x.caller.fromPeer {
+		load := x.forwarder.admitter.InFlight() + x.forwarder.admitter.Queued()
+		writeField(b, headerLoad, strconv.Itoa(load))
+	}
+	b.WriteString("\r\n")
+}
+
+func writeStatus(b *bytes.Buffer, status int, reason string) {
+	if reason == "" {
+		reason = http.StatusText(status)
+	}
+	if reason == "" {
+		reason = "Status"
+	}
+	b.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + reason + "\r\n")
+}
+
+// writeBody sends a piece of the answer's body. It reports whether the source should pause.
+func (x *exchange) writeBody(data []byte) (full bool) {
+	if c := x.capture; c != nil && !c.tooLong {
+		c.body = append(c.body, data...)
+		if len(c.body) > maxCapturedBytes {
+			c.body = nil
+			c.tooLong = true
+		}
+	}
+	if x.caller == nil || x.request.message.method == http.MethodHead {
+		return false
+	}
+	if !x.chunkedOut {
+		x.caller.conn.write(data)
+		return x.caller != nil && x.caller.conn.full()
+	}
+	var b bytes.Buffer
+	b.Grow(len(data) + 16)
+	writeChunk(&b, data)
+	x.caller.conn.write(b.Bytes())
+	return x.caller != nil && x.caller.conn.full()
+}
+
+// writeEnd completes the answer.
+func (x *exchange) writeEnd(outcome string) {
+	if x.chunkedOut && x.caller != nil {
+		x.caller.conn.write([]byte(lastChunk))
+	}
+	x.end(x.capture, outcome)
+}
+
+// refuse answers in place of the upstream. The run value tells what is known of the request.
+func (x *exchange) refuse(status int, reason, run string) {
+	if x.ended || x.headSent {
+		return
+	}
+	f := x.forwarder
+	if run == runNo {
+		f.common.Checker.Assert(x.runs == 0 || x.idempotent, checker.NotRunTrue, "call %x refused as not run after %d runs", x.id, x.runs)
+		if x.runs > 0 {
+			run = runUnknown
+		}
+	}
+	f.stats.refused(reason)
+	text := reason + "\n"
+	m := &message{status: status, length: int64(len(text)), header: []field{
+		{key: "Content-Type", value: "text/plain"},
+		{key: headerRun, value: run},
+		{key: headerRefusal, value: reason},
+	}}
+	x.writeHead(m, true)
+	x.capture = nil
+	x.writeBody([]byte(text))
+	x.writeEnd(run)
+}
+
+// replay sends a kept answer.
+func (x *exchange) replay(a *answer) {
+	m := *a.message
+	m.length = int64(len(a.body))
+	m.chunked = false
+	x.writeHead(&m, true)
+	x.capture = nil
+	x.writeBody(a.body)
+	x.writeEnd("")
+}
+
+// answerDrained lets a paused source go on.
+func (x *exchange) answerDrained() {
+	if a := x.attempt; a != nil && a.conn != nil {
+		a.conn.conn.resume()
+	}
+}
--- /dev/null
+++ b/internal/forwarder/attempt.go
@@ -0,0 +1,270 @@
+package forwarder
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+)
+
+// Operations between nodes.
+const (
+	operationCall    = "call"
+	operationClaim   = "claim"
+	operationOwn     = "own"
+	operationReserve = "reserve"
+)
+
+// attemptKind tells what an attempt carries.
+type attemptKind int
+
+const (
+	// kindCall carries the request itself.
+	kindCall attemptKind = iota
+	// kindClaim asks for the fate of another attempt.
+	kindClaim
+	// kindReserve reserves an idempotency key.
+	kindReserve
+)
+
+// attempt is one try at an upstream or node.
+type attempt struct {
+	exchange *exchange
+	kind     attemptKind
+	// operation is what a node is asked for; it is empty towards an upstream.
+	operation string
+	id        uint64
+	// endpoint is the upstream's node, or nil for the upstream beside this node.
+	endpoint *balancer.Endpoint
+	pool     *pool
+	conn     *clientConn
+	// fresh asks for a new connection.
+	fresh bool
+	began time.Time
+	// sent tells that a byte of the request may have left this node.
+	sent bool
+	// requestSent tells that the whole request has been written.
+	requestSent bool
+	headSeen    bool
+	answer      *message
+	latency     time.Duration
+	// parked tells that the node has the claimed call running.
+	parked bool
+	// swallowed is an answer that is read but not forwarded.
+	swallowed *message
+	ended     bool
+}
+
+func (a *attempt) local() bool { return a.endpoint == nil }
+
+// connected sends the request over a connection.
+func (a *attempt) connected(c *clientConn) {
+	x := a.exchange
+	a.conn = c
+	c.attempt = a
+	a.began = time.Now()
+	head := a.requestHead()
+	if a.kind != kindCall {
+		a.requestSent = true
+		a.sent = c.conn.write(head)
+		return
+	}
+	// A connection that fails here has taken nothing; lost then sees sent as false.
+	chunked := x.request.message.length < 0
+	if len(x.request.body) > 0 {
+		head = appendBody(head, x.request.body, chunked)
+	}
+	if x.request.complete && chunked {
+		head = append(head, lastChunk...)
+	}
+	if !c.conn.write(head) {
+		return
+	}
+	a.markSent()
+	a.requestSent = x.request.complete
+	if !x.request.complete {
+		x.request.streamed = true
+		x.request.body = nil
+		if x.caller != nil && !c.conn.full() {
+			x.caller.conn.resume()
+		}
+	}
+}
+
+func appendBody(head, body []byte, chunked bool) []byte {
+	if !chunked {
+		return append(head, body...)
+	}
+	b := bytes.NewBuffer(head)
+	writeChunk(b, body)
+	return b.Bytes()
+}
+
+// markSent notes that the request may run from now on.
+func (a *attempt) markSent() {
+	x := a.exchange
+	a.sent = true
+	x.runs++
+	x.forwarder.common.Checker.Assert(x.idempotent || x.runs == 1, checker.AtMostOnce, "call %x sent %d times", x.id, x.runs)
+}
+
+// unsend takes markSent back, once it is known that the request did not run.
+func (a *attempt) unsend() { a.exchange.runs-- }
+
+func (a *attempt) requestHead() []byte {
+	x := a.exchange
+	m := x.request.message
+	var b bytes.Buffer
+	b.Grow(1024 + len(x.request.body))
+	if a.kind != kindCall {
+		a.writeQuestion(&b)
+		return b.Bytes()
+	}
+	b.WriteString(m.method + " " + m.uri + " HTTP/1.1\r\n")
+	writeFields(&b, m.forwarded())
+	if m.length > 0 || m.length < 0 || m.hasLength {
+		writeLength(&b, m.length, m.length < 0)
+	}
+	writeField(&b, headerDeadline, strconv.FormatInt(x.deadline.UnixMilli(), 10))
+	if !a.local() {
+		a.writeInternal(&b)
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// writeInternal writes the header lines that the other node needs.
+func (a *attempt) writeInternal(b *bytes.Buffer) {
+	x := a.exchange
+	writeField(b, headerOperation, a.operation)
+	writeField(b, headerID, strconv.FormatUint(a.id, 16))
+	writeField(b, headerRoute, x.route.Name)
+	writeField(b, headerService, x.route.Service)
+	writeField(b, headerVersion, a.endpoint.Version)
+	writeField(b, headerFingerprint, strconv.FormatUint(x.fingerprint, 16))
+}
+
+// writeQuestion writes a request of the node itself, which has no body.
+func (a *attempt) writeQuestion(b *bytes.Buffer) {
+	x := a.exchange
+	b.WriteString("POST /" + a.operation + " HTTP/1.1\r\nHost: " + a.endpoint.Node + "\r\n")
+	writeField(b, headerOperation, a.operation)
+	writeField(b, headerID, strconv.FormatUint(a.id, 16))
+	writeField(b, headerDeadline, strconv.FormatInt(x.deadline.UnixMilli(), 10))
+	writeField(b, headerService, x.route.Service)
+	if a.kind == kindReserve {
+		writeField(b, headerIdempotencyKey, x.key)
+		writeField(b, headerOwner, x.view.Node)
+	}
+	writeLength(b, 0, false)
+	b.WriteString("\r\n")
+}
+
+// streams tells that more of the request's body can be sent as it comes.
+func (a *attempt) streams() bool {
+	return a.kind == kindCall && a.sent && !a.requestSent && !a.ended
+}
+
+func (a *attempt) sendBody(data []byte) {
+	x := a.exchange
+	if x.request.message.length < 0 {
+		var b bytes.Buffer
+		writeChunk(&b, data)
+		data = b.Bytes()
+	}
+	a.conn.conn.write(data)
+	if !a.ended && a.conn.conn.full() && x.caller != nil {
+		x.caller.conn.pause()
+	}
+}
+
+func (a *attempt) endBody() {
+	a.requestSent = true
+	if a.exchange.request.message.length < 0 {
+		a.conn.conn.write([]byte(lastChunk))
+	}
+}
+
+// requestDrained lets a paused caller go on.
+func (a *attempt) requestDrained() {
+	if caller := a.exchange.caller; caller != nil {
+		caller.conn.resume()
+	}
+}
+
+func (a *attempt) interim(m *message) {
+	if m.status == 102 {
+		a.parked = true
+	}
+}
+
+func (a *attempt) answerHead(m *message) {
+	if a.ended {
+		return
+	}
+	a.headSeen = true
+	a.answer = m
+	a.latency = time.Since(a.began)
+	if a.endpoint != nil {
+		if load, err := strconv.Atoi(m.get(headerLoad)); err == nil {
+			a.endpoint.Load.Hint(load, time.Now())
+		}
+	}
+	a.exchange.answerHead(a, m)
+}
+
+func (a *attempt) answerBody(data []byte) {
+	x := a.exchange
+	if a.ended || a.swallowed != nil {
+		return
+	}
+	x.lastByte = time.Now()
+	if x.writeBody(data) {
+		a.conn.conn.pause()
+	}
+}
+
+func (a *attempt) answerEnd() {
+	if !a.ended {
+		a.exchange.answerEnd(a)
+	}
+}
+
+// lost is called when the connection ended before the answer did.
+func (a *attempt) lost(err error) {
+	if a.ended {
+		return
+	}
+	a.exchange.attemptLost(a, err)
+}
+
+func (a *attempt) dialFailed(err error) {
+	if a.ended {
+		return
+	}
+	a.exchange.attemptLost(a, err)
+}
+
+// drop ends the attempt from this side. A late answer is dropped with its connection.
+func (a *attempt) drop() {
+	if a.ended {
+		return
+	}
+	a.finish()
+	if a.conn != nil {
+		a.conn.drop()
+	}
+	if a.endpoint != nil && a.kind == kindCall {
+		a.endpoint.Load.Cancel()
+	}
+}
+
+// finish ends the attempt and gives its slot back.
+func (a *attempt) finish() {
+	a.ended = true
+	if a.local() {
+		a.exchange.forwarder.releaseSlot()
+	}
+}
--- /dev/null
+++ b/internal/forwarder/evidence.go
@@ -0,0 +1,93 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/roller"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// evidenceKey names what is counted together.
+type evidenceKey struct {
+	rollout         string
+	declaredVersion uint64
+	route           string
+	version         string
+}
+
+// evidenceCount counts outcomes since the last report.
+type evidenceCount struct {
+	calls      uint64
+	failures   uint64
+	rejections uint64
+	latencies  [roller.LatencyBuckets]uint64
+}
+
+// evidenceFor returns the count of a call, or nil if its service has no open rollout.
+func (f *Forwarder) evidenceFor(x *exchange) *evidenceCount {
+	l := f.local.upstream
+	service := f.view.Load().Services[x.route.Service]
+	if l == nil || service == nil || service.Rollout == nil {
+		return nil
+	}
+	key := evidenceKey{rollout: service.Rollout.Name, declaredVersion: service.Rollout.DeclaredVersion,
+		route: x.route.Name, version: l.Version}
+	e, ok := f.evidence[key]
+	if !ok {
+		e = &evidenceCount{}
+		f.evidence[key] = e
+	}
+	return e
+}
+
+// countOutcome counts an answer of the local upstream.
+func (f *Forwarder) countOutcome(x *exchange, a *attempt) {
+	f.crashes.noteSuccess(x.fingerprint)
+	f.stats.Answered.Add(1)
+	e := f.evidenceFor(x)
+	if e == nil {
+		return
+	}
+	e.calls++
+	switch {
+	case a.answer.status >= 500:
+		e.failures++
+	case a.answer.status >= 400:
+		e.rejections++
+	}
+	if !time.Now().Before(f.local.upstream.WarmAt) {
+		e.latencies[roller.LatencyBucket(a.latency)]++
+	}
+}
+
+// countLost counts a call that the local upstream did not answer.
+func (f *Forwarder) countLost(x *exchange, a *attempt) {
+	if a.sent {
+		f.noteBroken(x.fingerprint)
+	}
+	if e := f.evidenceFor(x); e != nil {
+		e.calls++
+		e.failures++
+	}
+}
+
+// TakeEvidence returns what was counted since the last call.
+func (f *Forwarder) TakeEvidence() []*schema.Report {
+	f.mu.Lock()
+	counts := f.evidence
+	f.evidence = map[evidenceKey]*evidenceCount{}
+	f.mu.Unlock()
+	reports := map[string]*schema.Report{}
+	var all []*schema.Report
+	for key, count := range counts {
+		r, ok := reports[key.rollout]
+		if !ok {
+			r = &schema.Report{Rollout: key.rollout, DeclaredVersion: key.declaredVersion}
+			reports[key.rollout] = r
+			all = append(all, r)
+		}
+		r.Evidence = append(r.Evidence, &schema.Evidence{Route: key.route, Version: key.version, Calls: count.calls,
+			Failures: count.failures, Rejections: count.rejections, LatencyBuckets: count.latencies[:]})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,253 @@
+// Package forwarder carries calls: from a caller to the node beside the chosen upstream, to the upstream and back.
+//
+// One poller goroutine of nbio runs all connections; timers and the control goroutine join it
+// under one lock. HTTP is parsed by nbhttp's parser, and long bodies stream.
+package forwarder
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/admitter"
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+	"github.com/tamarackpitch/tamarackpitch/internal/budgeter"
+	"github.com/tamarackpitch/tamarackpitch/internal/common"
+	"github.com/tamarackpitch/tamarackpitch/internal/router"
+)
+
+const (
+	readBufferBytes = 64 << 10
+	// peerConnections bounds the connections to one other node.
+	peerConnections = 256
+	// defaultQueueLength serves where the preset gives none.
+	defaultQueueLength = 64
+	sweepInterval      = time.Second
+)
+
+// Config builds a Forwarder.
+type Config struct {
+	Common *common.Common
+	// ReportCrash is told the fingerprints of the requests during which the local upstream crashed.
+	ReportCrash func([]uint64)
+}
+
+// Forwarder carries the calls of one node.
+type Forwarder struct {
+	config   Config
+	common   *common.Common
+	engine   *nbio.Engine
+	stop     chan struct{}
+	done     chan struct{}
+	listener [2]net.Listener
+	peerPort int
+	view     atomic.Pointer[router.Snapshot]
+	stats    Stats
+
+	// mu guards everything below and every connection and call.
+	mu       sync.Mutex
+	buffer   []byte
+	random   *rand.Rand
+	balancer balancer.Balancer
+	callers  map[*serverConn]struct{}
+	pools    map[string]*pool
+	local    localState
+	admitter admitter.Admitter[*exchange]
+	calls    map[*exchange]struct{}
+	ids      *ledger
+	keys     *ledger
+	budgets  map[string]*budgeter.Budget
+	shares   map[string]float64
+	evidence map[evidenceKey]*evidenceCount
+	crashes  crashWatch
+	nextID   uint64
+	draining bool
+}
+
+// New listens and starts the poller.
+func New(c Config) (*Forwarder, error) {
+	f := &Forwarder{
+		config:   c,
+		common:   c.Common,
+		stop:     make(chan struct{}),
+		done:     make(chan struct{}),
+		buffer:   make([]byte, readBufferBytes),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		callers:  map[*serverConn]struct{}{},
+		pools:    map[string]*pool{},
+		calls:    map[*exchange]struct{}{},
+		ids:      newLedger(maxIDs),
+		keys:     newLedger(maxKeys),
+		budgets:  map[string]*budgeter.Budget{},
+		shares:   map[string]float64{},
+		evidence: map[evidenceKey]*evidenceCount{},
+	}
+	f.balancer = balancer.Balancer{Zone: c.Common.Settings.Zone, Random: f.random}
+	f.nextID = f.random.Uint64()
+	f.view.Store(&router.Snapshot{Reason: "starting"})
+	if err := f.listen(); err != nil {
+		return nil, err
+	}
+	go f.run()
+	return f, nil
+}
+
+// listen starts the engine on both call addresses.
+func (f *Forwarder) listen() error {
+	logging.SetLevel(logging.LevelNone)
+	addresses := []string{f.common.Settings.Listen, f.common.Settings.PeerListen}
+	f.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: addresses, NPoller: 1, ReadBufferSize: readBufferBytes,
+		EpollMod: nbio.EPOLLET, EPOLLONESHOT: nbio.EPOLLONESHOT, Listen: f.listenOne})
+	f.engine.OnOpen(f.onOpen)
+	f.engine.OnClose(f.onClose)
+	f.engine.OnRead(f.onRead)
+	f.engine.OnWrittenSize(onWritten)
+	if err := f.engine.Start(); err != nil {
+		return &Error{Operation: "listen", Kind: KindListen, Detail: err.Error()}
+	}
+	return nil
+}
+
+func (f *Forwarder) listenOne(network, address string) (net.Listener, error) {
+	l, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	if f.listener[0] == nil {
+		f.listener[0] = l
+	} else {
+		f.listener[1] = l
+		f.peerPort = l.Addr().(*net.TCPAddr).Port
+	}
+	return l, nil
+}
+
+func (f *Forwarder) onOpen(c *nbio.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fromPeer := c.LocalAddr().(*net.TCPAddr).Port == f.peerPort
+	s := &serverConn{forwarder: f, fromPeer: fromPeer, openedAt: time.Now()}
+	s.conn = newConn(f, c, s, false)
+	f.callers[s] = struct{}{}
+}
+
+// onClose is called by the engine on a goroutine of its own.
+func (f *Forwarder) onClose(c *nbio.Conn, err error) {
+	if n, ok := c.Session().(*conn); ok {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		n.closeWith(err)
+	}
+}
+
+func (f *Forwarder) onRead(c *nbio.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n, ok := c.Session().(*conn); ok {
+		n.read()
+		return
+	}
+	c.ResetPollerEvent()
+}
+
+func onWritten(c *nbio.Conn, _ []byte, n int) {
+	if session, ok := c.Session().(*conn); ok {
+		session.written(n)
+	}
+}
+
+// Publish puts a new view in force for calls that begin after it.
+func (f *Forwarder) Publish(view *router.Snapshot) {
+	f.view.Store(view)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.updateLocal(view)
+}
+
+// run sweeps idle connections and old entries until Close.
+func (f *Forwarder) run() {
+	defer close(f.done)
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case now := <-ticker.C:
+			f.sweep(now)
+		}
+	}
+}
+
+func (f *Forwarder) sweep(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for s := range f.callers {
+		s.sweep(now)
+	}
+	for address, p := range f.pools {
+		p.sweep(now)
+		if p.unused() {
+			delete(f.pools, address)
+		}
+	}
+	f.ids.sweep(now)
+	f.keys.sweep(now)
+	f.crashes.sweep(now)
+}
+
+// newID returns an identity that no other call has: a random start, then a counter.
+func (f *Forwarder) newID() uint64 {
+	f.nextID++
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], f.nextID)
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// Drain ends the listeners and waits until no call is left, at most until the timeout.
+// Callers are told to close their connections with their next answers. It reports whether all calls ended.
+func (f *Forwarder) Drain(timeout time.Duration) bool {
+	const poll = 20 * time.Millisecond
+	f.mu.Lock()
+	f.draining = true
+	f.mu.Unlock()
+	for _, l := range f.listener {
+		_ = l.Close()
+	}
+	deadline := time.Now().Add(timeout)
+	for time.Now().Before(deadline) {
+		if f.closeIdle(time.Now()) {
+			return true
+		}
+		time.Sleep(poll)
+	}
+	return false
+}
+
+// closeIdle ends the connections that have been idle for a while, and reports whether all have ended.
+func (f *Forwarder) closeIdle(now time.Time) bool {
+	const quiet = 300 * time.Millisecond
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for s := range f.callers {
+		if s.idle() && now.Sub(s.lastUse()) >= quiet {
+			s.conn.closeWhenSent()
+		}
+	}
+	return len(f.callers) == 0 && len(f.calls) == 0
+}
+
+// Close ends all parts at once.
+func (f *Forwarder) Close() {
+	for _, l := range f.listener {
+		_ = l.Close()
+	}
+	close(f.stop)
+	<-f.done
+}
--- /dev/null
+++ b/internal/forwarder/pool.go
@@ -0,0 +1,170 @@
+package forwarder
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lesismal/nbio"
+)
+
+const (
+	dialTimeout = time.Second
+	// maxIdle bounds the idle connections kept to one address.
+	maxIdle = 64
+)
+
+// pool holds the connections to one address.
+type pool struct {
+	forwarder *Forwarder
+	address   string
+	// limit bounds the connections, those being dialled included.
+	limit int
+	// idle connections, the most recently used last.
+	idle  []*clientConn
+	total int
+	// waiting attempts, oldest first, while total is at the limit.
+	waiting []*attempt
+}
+
+func (f *Forwarder) pool(address string, limit int) *pool {
+	p, ok := f.pools[address]
+	if !ok {
+		p = &pool{forwarder: f, address: address}
+		f.pools[address] = p
+	}
+	p.limit = limit
+	return p
+}
+
+func (p *pool) unused() bool { return p.total == 0 && len(p.waiting) == 0 }
+
+// serve gives the attempt a connection: an idle one, a new one, or the first to become free.
+func (p *pool) serve(a *attempt) {
+	a.pool = p
+	for len(p.idle) > 0 && !a.fresh {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if !c.conn.closed {
+			c.reused = true
+			a.connected(c)
+			return
+		}
+	}
+	if p.total < p.limit || a.fresh {
+		p.dial(a)
+		return
+	}
+	p.waiting = append(p.waiting, a)
+}
+
+// dialing is one connection attempt. The engine does not always report a failed dial, hence the timer.
+type dialing struct {
+	pool     *pool
+	attempt  *attempt
+	timer    *time.Timer
+	finished bool
+}
+
+func (p *pool) dial(a *attempt) {
+	p.total++
+	d := &dialing{pool: p, attempt: a}
+	d.timer = time.AfterFunc(dialTimeout, d.onTimeout)
+	if err := p.forwarder.engine.DialAsync("tcp", p.address, d.onConnected); err != nil {
+		d.finish(nil, err)
+	}
+}
+
+func (d *dialing) onTimeout() {
+	d.pool.forwarder.mu.Lock()
+	defer d.pool.forwarder.mu.Unlock()
+	d.finish(nil, &Error{Operation: "dial", Kind: KindTimeout, Detail: d.pool.address})
+}
+
+// onConnected is called by the engine, also for a dial that was refused.
+func (d *dialing) onConnected(c *nbio.Conn, err error) {
+	d.pool.forwarder.mu.Lock()
+	defer d.pool.forwarder.mu.Unlock()
+	if err == nil {
+		err = connectError(c)
+	}
+	if d.finished && c != nil {
+		_ = c.Close()
+	}
+	d.finish(c, err)
+}
+
+func (d *dialing) finish(c *nbio.Conn, err error) {
+	if d.finished {
+		return
+	}
+	d.finished = true
+	d.timer.Stop()
+	p := d.pool
+	if err != nil {
+		if c != nil {
+			_ = c.Close()
+		}
+		p.total--
+		d.attempt.dialFailed(err)
+		p.serveWaiting()
+		return
+	}
+	n := &clientConn{forwarder: p.forwarder, pool: p}
+	n.conn = newConn(p.forwarder, c, n, true)
+	if d.attempt.ended {
+		p.put(n)
+		return
+	}
+	d.attempt.connected(n)
+}
+
+// put takes back a connection whose answer has been read whole.
+func (p *pool) put(c *clientConn) {
+	c.attempt = nil
+	c.idleSince = time.Now()
+	if c.conn.closed {
+		return
+	}
+	for len(p.waiting) > 0 {
+		a := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		if !a.ended {
+			c.reused = true
+			a.connected(c)
+			return
+		}
+	}
+	if len(p.idle) >= maxIdle {
+		c.conn.closeWith(nil)
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// removed notes a connection that has ended.
+func (p *pool) removed(c *clientConn) {
+	p.total--
+	if i := slices.Index(p.idle, c); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+	}
+	p.serveWaiting()
+}
+
+func (p *pool) serveWaiting() {
+	for len(p.waiting) > 0 && p.total < p.limit {
+		a := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		if !a.ended {
+			p.dial(a)
+		}
+	}
+}
+
+// sweep ends idle connections of a certain age, since what lies between may have lost track of them.
+func (p *pool) sweep(now time.Time) {
+	for _, c := range slices.Clone(p.idle) {
+		if now.Sub(c.idleSince) >= p.forwarder.common.Settings.IdleTimeout {
+			c.conn.closeWith(nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forwarder/serverconn.go
@@ -0,0 +1,167 @@
+package forwarder
+
+import (
+	"bytes"
+	"errors"
+	"time"
+)
+
+const (
+	// maxPipelined bounds the requests read ahead on one connection.
+	maxPipelined = 8
+	// maxDiscard bounds the rest of a request body that is read after an early answer.
+	maxDiscard = 16 << 20
+	// callerIdleTimeout ends a caller's idle connection.
+	callerIdleTimeout = 2 * time.Minute
+)
+
+// serverConn is a connection from a caller or from another node. Requests are answered in order.
+type serverConn struct {
+	forwarder *Forwarder
+	conn      *conn
+	// fromPeer tells that the other side is a node, whose internal headers are trusted.
+	fromPeer bool
+	openedAt time.Time
+	usedAt   time.Time
+	// queue holds the requests that are not answered; the first one is being served.
+	queue []*exchange
+	// reading is the exchange whose body is being read, or nil.
+	reading *exchange
+	// discarded counts the bytes of a body whose request has been answered.
+	discarded int64
+}
+
+func (s *serverConn) isHead() bool { return false }
+
+func (s *serverConn) onHead(m *message) error {
+	x := newExchange(s, m)
+	s.usedAt = time.Now()
+	s.queue = append(s.queue, x)
+	s.reading = x
+	s.discarded = 0
+	if m.get(headerExpect) != "" {
+		s.conn.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	if len(s.queue) >= maxPipelined {
+		s.conn.pause()
+	}
+	return nil
+}
+
+func (s *serverConn) onBody(data []byte) error {
+	x := s.reading
+	s.usedAt = time.Now()
+	if x.ended {
+		s.discarded += int64(len(data))
+		if s.discarded > maxDiscard {
+			return &Error{Operation: "read", Kind: KindTooLarge, Detail: "body after an early answer"}
+		}
+		return nil
+	}
+	x.receiveBody(data)
+	return nil
+}
+
+func (s *serverConn) onEnd() error {
+	x := s.reading
+	s.reading = nil
+	x.request.complete = true
+	if x.ended {
+		s.finish(x)
+		return nil
+	}
+	x.receiveEnd()
+	return nil
+}
+
+// startNext serves the first request of the queue if enough of it has been read.
+func (s *serverConn) startNext() {
+	if len(s.queue) == 0 {
+		return
+	}
+	if x := s.queue[0]; !x.started && x.ready() {
+		x.start()
+	}
+}
+
+// finish goes on to the next request once an answer has been written and its request read.
+func (s *serverConn) finish(x *exchange) {
+	if len(s.queue) == 0 || s.queue[0] != x || !x.request.complete {
+		return
+	}
+	s.queue = s.queue[1:]
+	s.usedAt = time.Now()
+	if x.closeAfter {
+		s.conn.closeWhenSent()
+		return
+	}
+	if len(s.queue) < maxPipelined && s.reading == nil {
+		s.conn.resume()
+	}
+	s.startNext()
+}
+
+// onClose tells the calls under way that nobody waits for their answers.
+func (s *serverConn) onClose(err error) {
+	delete(s.forwarder.callers, s)
+	var own *Error
+	if errors.As(err, &own) && (own.Kind == KindMalformed || own.Kind == KindTooLarge) {
+		s.forwarder.stats.Malformed.Add(1)
+		s.forwarder.common.Logger.Debug("request refused", "reason", err)
+	}
+	queue := s.queue
+	s.queue = nil
+	for _, x := range queue {
+		x.abandon()
+	}
+}
+
+func (s *serverConn) onDrained() {
+	if len(s.queue) > 0 {
+		s.queue[0].answerDrained()
+	}
+}
+
+// onMalformed answers a request that can't be parsed before the connection ends.
+func (s *serverConn) onMalformed(err error) {
+	if len(s.queue) > 0 && s.queue[0].headSent {
+		return
+	}
+	status := "400 Bad Request"
+	var own *Error
+	if errors.As(err, &own) && own.Kind == KindTooLarge {
+		status = "431 Request Header Fields Too Large"
+	}
+	var b bytes.Buffer
+	text := err.Error() + "\n"
+	b.WriteString("HTTP/1.1 " + status + "\r\n")
+	writeField(&b, headerRun, runNo)
+	writeField(&b, headerRefusal, "malformed")
+	writeField(&b, "Content-Type", "text/plain")
+	writeField(&b, headerConnection, "close")
+	writeLength(&b, int64(len(text)), false)
+	b.WriteString("\r\n" + text)
+	s.conn.write(b.Bytes())
+}
+
+func (s *serverConn) idle() bool { return len(s.queue) == 0 && s.conn.reader.message == nil }
+
+func (s *serverConn) lastUse() time.Time {
+	if s.usedAt.IsZero() {
+		return s.openedAt
+	}
+	return s.usedAt
+}
+
+// sweep ends connections that are idle for too long or send a head too slowly.
+func (s *serverConn) sweep(now time.Time) {
+	settings := s.forwarder.common.Settings
+	unused := now.Sub(s.lastUse())
+	switch {
+	case len(s.queue) > 0:
+	case s.idle() && unused > callerIdleTimeout:
+		s.conn.closeWith(nil)
+	case !s.idle() && unused > settings.HeaderTimeout:
+		s.conn.closeWith(&Error{Operation: "read", Kind: KindTimeout, Detail: "request header"})
+	}
+}
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,229 @@
+// Package gossiper keeps the overlay's links: long-lived grpc streams between nodes.
+//
+// It moves frames and knows nothing of their meaning; the control goroutine decides.
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// Protocol is the version of the overlay's protocol. Links need equal versions.
+const Protocol = 1
+
+const (
+	helloTimeout    = 3 * time.Second
+	reportTimeout   = 500 * time.Millisecond
+	maxMessageBytes = 32 << 20
+	bufferBytes     = 4 << 10
+	eventQueue      = 1024
+	// maxReportConns bounds the connections kept for reports.
+	maxReportConns = 64
+)
+
+// Config builds a Gossiper.
+type Config struct {
+	Listen string
+	Clock  *recorder.Clock
+	// Hello returns this node's current hello. It is called from several goroutines.
+	Hello func() *schema.Hello
+}
+
+// Gossiper accepts and opens links.
+type Gossiper struct {
+	schema.UnimplementedOverlayServer
+
+	config   Config
+	server   *grpc.Server
+	listener net.Listener
+	events   chan Event
+	done     chan struct{}
+	meter    *Meter
+
+	mu sync.Mutex
+	// reportConns holds at most maxReportConns connections by address.
+	reportConns map[string]*grpc.ClientConn
+}
+
+// New listens and serves.
+func New(c Config) (*Gossiper, error) {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, &Error{Operation: "listen", Kind: KindListen, Cause: err}
+	}
+	g := &Gossiper{config: c, listener: listener, events: make(chan Event, eventQueue), done: make(chan struct{}),
+		meter: &Meter{}, reportConns: map[string]*grpc.ClientConn{}}
+	g.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes))
+	schema.RegisterOverlayServer(g.server, g)
+	go g.run()
+	return g, nil
+}
+
+// run serves until Close.
+func (g *Gossiper) run() {
+	_ = g.server.Serve(meteredListener{Listener: g.listener, meter: g.meter})
+}
+
+// Events returns the channel of everything that happens.
+func (g *Gossiper) Events() <-chan Event { return g.events }
+
+// Meter returns the byte counters of the overlay.
+func (g *Gossiper) Meter() *Meter { return g.meter }
+
+// Close ends all links and the listener.
+func (g *Gossiper) Close() {
+	close(g.done)
+	g.server.Stop()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.reportConns {
+		_ = c.Close()
+	}
+}
+
+func (g *Gossiper) emit(e Event) bool {
+	select {
+	case g.events <- e:
+		return true
+	case <-g.done:
+		return false
+	}
+}
+
+func (g *Gossiper) observe(s *schema.Stamp) {
+	if s != nil {
+		g.config.Clock.Observe(recorder.Stamp{UnixMs: s.UnixMs, Counter: s.Counter})
+	}
+}
+
+// Link serves an incoming link.
+func (g *Gossiper) Link(s grpc.BidiStreamingServer[schema.Frame, schema.Frame]) error {
+	first, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	if err := checkHello(first.GetHello()); err != nil {
+		return err
+	}
+	if err := s.Send(&schema.Frame{Hello: g.config.Hello()}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(s.Context())
+	l := g.newLink(first.Hello, s, cancel)
+	if !g.emit(Event{Kind: LinkOpened, Link: l}) {
+		cancel()
+		return nil
+	}
+	go l.loop()
+	receiver := &serverReceiver{link: l, done: make(chan struct{})}
+	go receiver.run()
+	// Returning from the handler ends the stream, so wait for either side.
+	select {
+	case <-receiver.done:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// serverReceiver reads an incoming link on a goroutine of its own, so that the handler can end it.
+type serverReceiver struct {
+	link *Link
+	done chan struct{}
+}
+
+func (r *serverReceiver) run() {
+	defer close(r.done)
+	r.link.receive()
+}
+
+func (g *Gossiper) newLink(hello *schema.Hello, s stream, cancel context.CancelFunc) *Link {
+	return &Link{Hello: hello, gossiper: g, stream: s, cancel: cancel,
+		queue: make(chan *schema.Frame, sendQueueFrames), done: make(chan struct{})}
+}
+
+func checkHello(h *schema.Hello) error {
+	switch {
+	case h.GetMember().GetNode() == "":
+		return &Error{Operation: "hello", Kind: KindProtocol, Cause: errors.New("no member")}
+	case h.Protocol != Protocol:
+		return &Error{Operation: "hello", Kind: KindProtocol, Cause: errors.New("other protocol version")}
+	}
+	return nil
+}
+
+// Dial opens a link in the background. The result is an event.
+func (g *Gossiper) Dial(address string) {
+	d := &dialer{gossiper: g, address: address}
+	go d.run()
+}
+
+// dialer opens one outgoing link and reads it.
+type dialer struct {
+	gossiper *Gossiper
+	address  string
+}
+
+func (d *dialer) run() {
+	conn, err := d.gossiper.connect(d.address)
+	if err != nil {
+		d.fail()
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := d.open(ctx, cancel, conn)
+	if err != nil {
+		d.fail()
+		return
+	}
+	go l.loop()
+	l.receive()
+}
+
+func (d *dialer) fail() {
+	d.gossiper.emit(Event{Kind: DialFailed, Address: d.address})
+}
+
+func (d *dialer) open(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn) (*Link, error) {
+	timer := time.AfterFunc(helloTimeout, cancel)
+	defer timer.Stop()
+	s, err := schema.NewOverlayClient(conn).Link(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.Send(&schema.Frame{Hello: d.gossiper.config.Hello()}); err != nil {
+		return nil, err
+	}
+	first, err := s.Recv()
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHello(first.GetHello()); err != nil {
+		return nil, err
+	}
+	l := d.gossiper.newLink(first.Hello, s, cancel)
+	l.Outgoing = true
+	l.Address = d.address
+	if !d.gossiper.emit(Event{Kind: LinkOpened, Link: l}) {
+		return nil, context.Canceled
+	}
+	return l, nil
+}
+
+func (g *Gossiper) connect(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(g.meter.dial),
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
+}
--- /dev/null
+++ b/internal/meterer/meterer.go
@@ -0,0 +1,104 @@
+// Package meterer publishes the node's counters as OpenTelemetry metrics.
+package meterer
+
+import (
+	"context"
+	"fmt"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/controller"
+	"github.com/tamarackpitch/tamarackpitch/internal/forwarder"
+)
+
+// Config builds a Meterer.
+type Config struct {
+	Forwarder  *forwarder.Forwarder
+	Controller *controller.Controller
+}
+
+// Meterer observes the node's counters whenever they are scraped.
+type Meterer struct {
+	config   Config
+	provider *sdk.MeterProvider
+}
+
+// Error reports that metrics can't be published.
+type Error struct {
+	Operation string
+	Kind      string
+	Cause     error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("metrics %s: %s: %v", e.Operation, e.Kind, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// counter is one observed value.
+type counter struct {
+	name  string
+	help  string
+	value func() uint64
+}
+
+// New registers the metrics.
+func New(c Config) (*Meterer, error) {
+	exporter, err := prometheus.New(prometheus.WithoutScopeInfo())
+	if err != nil {
+		return nil, &Error{Operation: "export", Kind: "setup", Cause: err}
+	}
+	m := &Meterer{config: c, provider: sdk.NewMeterProvider(sdk.WithReader(exporter))}
+	if err := m.register(m.provider.Meter("tamarackpitch")); err != nil {
+		return nil, &Error{Operation: "register", Kind: "setup", Cause: err}
+	}
+	return m, nil
+}
+
+func (m *Meterer) counters() []counter {
+	s := m.config.Forwarder.Stats()
+	meter := m.config.Controller.Meter()
+	return []counter{
+		{"tamarackpitch.calls.entered", "Calls that entered the mesh at this node.", s.Entered.Load},
+		{"tamarackpitch.calls.relayed", "Calls taken over from other nodes.", s.Relayed.Load},
+		{"tamarackpitch.calls.answered", "Answers of the upstream beside this node.", s.Answered.Load},
+		{"tamarackpitch.calls.retries", "Attempts beyond the first.", s.Retries.Load},
+		{"tamarackpitch.calls.claims", "Questions for the fate of a call.", s.Claims.Load},
+		{"tamarackpitch.calls.key_repeats", "Calls answered from an earlier call with the same idempotency key.", s.KeyRepeats.Load},
+		{"tamarackpitch.calls.cancelled", "Calls whose caller went away.", s.Cancelled.Load},
+		{"tamarackpitch.calls.cut", "Answers that could not be completed.", s.Cut.Load},
+		{"tamarackpitch.calls.malformed", "Requests that could not be parsed.", s.Malformed.Load},
+		{"tamarackpitch.upstream.crashes", "Crashes of the upstream beside this node.", s.Crashes.Load},
+		{"tamarackpitch.control.bytes_sent", "Bytes sent on the overlay, packet headers included.", func() uint64 { sent, _ := meter.Totals(); return sent }},
+		{"tamarackpitch.control.bytes_received", "Bytes received on the overlay, packet headers included.", func() uint64 { _, received := meter.Totals(); return received }},
+		{"tamarackpitch.config.version", "Configuration version in force.", func() uint64 { return m.config.Controller.Snapshot().Version }},
+	}
+}
+
+func (m *Meterer) register(meter metric.Meter) error {
+	for _, c := range m.counters() {
+		observe := func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(c.value()))
+			return nil
+		}
+		if _, err := meter.Int64ObservableCounter(c.name, metric.WithDescription(c.help), metric.WithInt64Callback(observe)); err != nil {
+			return err
+		}
+	}
+	_, err := meter.Int64ObservableCounter("tamarackpitch.calls.refused", metric.WithDescription("Refused calls by reason."),
+		metric.WithInt64Callback(m.observeRefusals))
+	return err
+}
+
+func (m *Meterer) observeRefusals(_ context.Context, o metric.Int64Observer) error {
+	for reason, count := range m.config.Forwarder.Stats().Refusals() {
+		o.Observe(int64(count), metric.WithAttributes(attribute.String("reason", reason)))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,88 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/controller"
+)
+
+func allAt(statuses []controller.Status, version uint64) bool {
+	for _, s := range statuses {
+		if s.Version < version {
+			return false
+		}
+	}
+	return true
+}
+
+// WriteStatus tells which version is in force on how many nodes, and what is wrong.
+func WriteStatus(w io.Writer, statuses []controller.Status, missing []string) {
+	versions := map[uint64]int{}
+	presets := map[string]int{}
+	for _, s := range statuses {
+		versions[s.Version]++
+		presets[s.Preset]++
+	}
+	for _, v := range slices.Sorted(maps.Keys(versions)) {
+		_, _ = fmt.Fprintf(w, "version=%d nodes=%d\n", v, versions[v])
+	}
+	for _, p := range slices.Sorted(maps.Keys(presets)) {
+		_, _ = fmt.Fprintf(w, "preset=%s nodes=%d\n", p, presets[p])
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "NODE\tZONE\tREADY\tVERSION\tSERVICE\tUPSTREAM\tDRAINING\tMEMBERS\tLINKS\tREADER\tVIOLATIONS\tREASON")
+	for _, s := range statuses {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%t\t%d\t%s\t%s\t%t\t%d\t%d\t%t\t%d\t%s\n", s.Node, s.Zone, s.Ready, s.Version,
+			s.Service, s.Upstream, s.Draining, s.Members, s.Links, s.LogReader, s.Violations, s.Reason+s.Violation)
+	}
+	_ = table.Flush()
+	for _, m := range missing {
+		_, _ = fmt.Fprintf(w, "node=%s answer=none\n", m)
+	}
+}
+
+// MergeRollouts joins what the nodes say of each rollout: an at-risk mark of one node counts.
+func MergeRollouts(statuses []controller.Status) []controller.RolloutStatus {
+	merged := map[string]controller.RolloutStatus{}
+	versions := map[string]uint64{}
+	for _, s := range statuses {
+		for _, r := range s.Rollouts {
+			old, ok := merged[r.Name]
+			atRisk := r.AtRisk || old.AtRisk
+			if !ok || s.Version > versions[r.Name] || r.Share > old.Share && s.Version == versions[r.Name] {
+				merged[r.Name] = r
+				versions[r.Name] = s.Version
+			}
+			kept := merged[r.Name]
+			kept.AtRisk = atRisk && kept.Phase == "open"
+			merged[r.Name] = kept
+		}
+	}
+	all := slices.Collect(maps.Values(merged))
+	slices.SortFunc(all, controller.CompareRollouts)
+	return all
+}
+
+// WriteRollouts tells plainly how each rollout stands.
+func WriteRollouts(w io.Writer, rollouts []controller.RolloutStatus, now time.Time) {
+	if len(rollouts) == 0 {
+		_, _ = fmt.Fprintln(w, "no rollouts declared")
+		return
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "ROLLOUT\tSERVICE\tFROM\tTO\tPHASE\tSHARE\tDEADLINE\tREASON")
+	for _, r := range rollouts {
+		phase := r.Phase
+		if r.AtRisk {
+			phase += " (deadline at risk)"
+		}
+		left := time.UnixMilli(r.DeadlineUnixMs).Sub(now).Round(time.Second)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%.3g\t%s\t%s\n", r.Name, r.Service, r.From, r.To, phase, r.Share, left, r.Reason)
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/internal/ranker/ranker.go
@@ -0,0 +1,65 @@
+// Package ranker orders members by rendezvous hashing.
+package ranker
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the weight of a member for a key.
+func Score(key, member string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
+
+type scored[T any] struct {
+	value T
+	name  string
+	score uint64
+}
+
+// Rank returns the values ordered for a key, best first. The order of any two values
+// does not depend on the others.
+func Rank[T any](key string, values []T, name func(T) string) []T {
+	all := make([]scored[T], len(values))
+	for i, v := range values {
+		all[i] = scored[T]{value: v, name: name(v), score: Score(key, name(v))}
+	}
+	slices.SortFunc(all, func(a, b scored[T]) int {
+		if a.score != b.score {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		}
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	ranked := make([]T, len(all))
+	for i, s := range all {
+		ranked[i] = s.value
+	}
+	return ranked
+}
+
+// IsAmongFirst reports whether a member is among the first n for a key.
+func IsAmongFirst(key, member string, n int, others []string) bool {
+	own := Score(key, member)
+	better := 0
+	for _, o := range others {
+		if o == member {
+			continue
+		}
+		s := Score(key, o)
+		if s > own || s == own && o < member {
+			better++
+		}
+	}
+	return better < n
+}
--- /dev/null
+++ b/internal/roller/plan.go
@@ -0,0 +1,124 @@
+package roller
+
+import (
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// laterShares are the shares after a preset's first share.
+var laterShares = []float64{0.05, 0.25, 0.5, 1}
+
+const (
+	// floorCalls is the least evidence for a step, whatever the deadline.
+	floorCalls = 5
+	// holdShare of the rollback threshold keeps a rollout on its step until the suspicion fades.
+	holdShare = 0.4
+	// minStep bounds how much a near deadline shortens a step.
+	minStep = 500 * time.Millisecond
+	// defaultFirstShare serves where no preset is in force.
+	defaultFirstShare = 0.01
+)
+
+// Shares returns the shares of a rollout's steps under a preset, the last being 1.
+func Shares(p *schema.Preset) []float64 {
+	first := p.FirstShare
+	if first <= 0 {
+		first = defaultFirstShare
+	}
+	shares := []float64{first}
+	for _, s := range laterShares {
+		if s > first {
+			shares = append(shares, s)
+		}
+	}
+	return shares
+}
+
+// LastStep returns the index of the step with share 1.
+func LastStep(p *schema.Preset) int { return len(Shares(p)) - 1 }
+
+// ShareAt returns the share of a step.
+func ShareAt(p *schema.Preset, step int) float64 {
+	shares := Shares(p)
+	return shares[min(max(step, 0), len(shares)-1)]
+}
+
+// Decision is what a controller does next.
+type Decision struct {
+	// Step to be reached; equal to the current one if nothing changes.
+	Step       int
+	RolledBack bool
+	Completed  bool
+	// AtRisk tells that the deadline will be missed at the present pace.
+	AtRisk bool
+	Reason string
+}
+
+// Decide returns the next action. One call moves at most one step.
+func (t *Trial) Decide(now time.Time, step int) Decision {
+	t.decay(now)
+	if step != t.step {
+		t.step, t.stepSince, t.stepCalls = step, now, 0
+	}
+	if t.reason != "" {
+		return Decision{Step: t.step, RolledBack: true, Reason: t.reason}
+	}
+	d := Decision{Step: t.step, AtRisk: t.atRisk(now)}
+	if t.suspicion() >= holdShare*t.config.Preset.RollbackThreshold {
+		return d
+	}
+	last := LastStep(t.config.Preset)
+	elapsed := now.Sub(t.stepSince)
+	switch {
+	case t.step >= last:
+		d.Completed = elapsed >= t.watch()
+		d.Reason = "all traffic moved and the watch period passed"
+	case elapsed >= t.stepTime(now) && t.stepCalls >= t.neededCalls(now):
+		t.step, t.stepSince, t.stepCalls = t.step+1, now, 0
+		d.Step = t.step
+	}
+	return d
+}
+
+func (t *Trial) deadline() time.Time { return time.UnixMilli(t.config.Rollout.DeadlineUnixMs) }
+
+func (t *Trial) watch() time.Duration {
+	return time.Duration(t.config.Preset.WatchMs) * time.Millisecond
+}
+
+// stepTime is the preset's interval, shortened where the deadline is near.
+func (t *Trial) stepTime(now time.Time) time.Duration {
+	interval := time.Duration(t.config.Preset.StepIntervalMs) * time.Millisecond
+	return max(min(interval, t.budget(now)), minStep)
+}
+
+// budget is the time each remaining step may take so that the last one is reached by the deadline.
+func (t *Trial) budget(_ time.Time) time.Duration {
+	remaining := LastStep(t.config.Preset) - t.step
+	if remaining <= 0 {
+		return t.watch()
+	}
+	// Half of the time in hand goes to the steps, the rest is slack for holds and handovers.
+	return t.deadline().Sub(t.stepSince) / time.Duration(2*remaining)
+}
+
+// neededCalls is the preset's evidence, and less once the step takes longer than its budget.
+func (t *Trial) neededCalls(now time.Time) uint64 {
+	needed := uint64(max(t.config.Preset.MinCalls, floorCalls))
+	if now.Sub(t.stepSince) > t.budget(now) {
+		return min(needed, floorCalls)
+	}
+	return needed
+}
+
+func (t *Trial) atRisk(now time.Time) bool {
+	last := LastStep(t.config.Preset)
+	if t.step >= last {
+		return false
+	}
+	if now.After(t.deadline()) {
+		return true
+	}
+	return now.Sub(t.stepSince) > 2*t.budget(now)
+}
--- /dev/null
+++ b/internal/standin/standinapp/standinapp.go
@@ -0,0 +1,183 @@
+// Package standinapp wires the commands of the stand-in program together.
+package standinapp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/requester"
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/caller"
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/logserver"
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/relay"
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/upstream"
+)
+
+type commandLine struct {
+	Log      logCommand      `cmd:"" help:"Stand in for the platform's log."`
+	Upstream upstreamCommand `cmd:"" help:"Stand in for an upstream."`
+	Caller   callerCommand   `cmd:"" help:"Send load and report what came back."`
+	Relay    relayCommand    `cmd:"" help:"Relay TCP connections, with faults."`
+	Demo     demoCommand     `cmd:"" help:"Run the whole system and check what it claims."`
+}
+
+// Main parses the arguments, runs the command and returns the exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	line := &commandLine{}
+	parser, err := kong.New(line, kong.Name("tamarackpitch-standin"), kong.Writers(stdout, stderr),
+		kong.DefaultEnvars("STANDIN"), kong.BindTo(stdout, (*io.Writer)(nil)))
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return 2
+	}
+	context, err := parser.Parse(arguments)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return 2
+	}
+	if err := context.Run(); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// Run is Main with the process's own arguments and outputs.
+func Run() int { return Main(os.Args[1:], os.Stdout, os.Stderr) }
+
+func untilSignal() context.Context {
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	return ctx
+}
+
+type logCommand struct {
+	Listen string `help:"Address, IP:port." default:"127.0.0.1:8090"`
+}
+
+// Run serves the log until a signal.
+func (c *logCommand) Run() error {
+	if _, err := requester.NewEngine(c.Listen, logserver.New()); err != nil {
+		return err
+	}
+	<-untilSignal().Done()
+	return nil
+}
+
+type upstreamCommand struct {
+	Name          string        `help:"Name of the upstream." required:""`
+	Service       string        `help:"Service it belongs to." required:""`
+	Version       string        `help:"Version of the service." required:""`
+	Listen        string        `help:"Address, IP:port." required:""`
+	Node          string        `help:"Admin address of the node beside it." required:""`
+	Slots         int           `help:"Requests it runs at one time." default:"6"`
+	Connections   int           `help:"Connections it takes." default:"130"`
+	ColdStart     time.Duration `help:"Time after the start in which it is slow." default:"0s"`
+	Latency       time.Duration `help:"Time one request takes." default:"2ms"`
+	FailRate      float64       `help:"Share of requests that fail."`
+	SlowFactor    float64       `help:"Factor on the latency."`
+	OnPrefix      string        `help:"Path prefix to which misbehaviour is limited."`
+	After         time.Duration `help:"Time after the start at which misbehaviour begins."`
+	AboveInFlight int           `help:"Requests in flight above which it misbehaves."`
+	Ledger        string        `help:"File that gets a line for each request that starts."`
+}
+
+// Run serves until a signal, then drains.
+func (c *upstreamCommand) Run() error {
+	client, err := requester.NewEngine("", nil)
+	if err != nil {
+		return err
+	}
+	u, err := upstream.New(upstream.Config{Name: c.Name, Service: c.Service, Version: c.Version, Listen: c.Listen, Node: c.Node,
+		Slots: c.Slots, Connections: c.Connections, ColdStart: c.ColdStart, Ledger: c.Ledger, Requester: requester.New(client),
+		Behaviour: upstream.Behaviour{LatencyMs: float64(c.Latency) / float64(time.Millisecond), FailRate: c.FailRate,
+			SlowFactor: c.SlowFactor, OnPrefix: c.OnPrefix, AfterMs: c.After.Milliseconds(), AboveInFlight: c.AboveInFlight}})
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Addr: c.Listen, Handler: u, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute}
+	s := &httpServer{server: server, failed: make(chan error, 1)}
+	go s.run()
+	ctx := untilSignal()
+	a := &announcer{upstream: u, ctx: ctx}
+	go a.run()
+	select {
+	case err := <-s.failed:
+		return err
+	case <-ctx.Done():
+	}
+	const grace = 1500 * time.Millisecond
+	u.Drain(grace)
+	return nil
+}
+
+type httpServer struct {
+	server *http.Server
+	failed chan error
+}
+
+func (s *httpServer) run() { s.failed <- s.server.ListenAndServe() }
+
+type announcer struct {
+	upstream *upstream.Upstream
+	ctx      context.Context
+}
+
+func (a *announcer) run() { a.upstream.Announce(a.ctx) }
+
+type callerCommand struct {
+	Entries  []string      `help:"Addresses of nodes for callers." name:"entry" required:""`
+	Paths    []string      `help:"Requests as METHOD:PATH." name:"request" default:"GET:/status/1"`
+	Rate     float64       `help:"Calls a second." default:"50"`
+	Duration time.Duration `help:"Time to send for." default:"5s"`
+	Timeout  time.Duration `help:"Time after which a call is given up." default:"10s"`
+	Keyed    bool          `help:"Send an idempotency key with each request that is not a GET."`
+	Seed     uint64        `help:"Seed of the load." default:"1"`
+	Prefix   string        `help:"Prefix of the calls' names." default:"c"`
+}
+
+// Run sends load and prints what came back.
+func (c *callerCommand) Run(w io.Writer) error {
+	config := caller.Config{Entries: c.Entries, Rate: c.Rate, Timeout: c.Timeout, Seed: c.Seed, Prefix: c.Prefix}
+	for _, p := range c.Paths {
+		method, path, ok := strings.Cut(p, ":")
+		if !ok {
+			return fmt.Errorf("--request=%q: expected METHOD:PATH", p)
+		}
+		config.Targets = append(config.Targets, caller.Target{Method: method, Path: path, Size: caller.SizeOf(path),
+			Keyed: c.Keyed && method != http.MethodGet, Weight: 1})
+	}
+	ctx, cancel := context.WithTimeout(untilSignal(), c.Duration)
+	defer cancel()
+	load := caller.New(config)
+	load.Run(ctx)
+	load.WriteReport(w)
+	return nil
+}
+
+type relayCommand struct {
+	Listen  string `help:"Address, IP:port." required:""`
+	Target  string `help:"Address that connections go to." required:""`
+	Control string `help:"Address that takes POST /cut, /silence and /delay?ms=." required:""`
+}
+
+// Run relays until a signal.
+func (c *relayCommand) Run() error {
+	r, err := relay.New(c.Listen, c.Target)
+	if err != nil {
+		return err
+	}
+	if _, err := requester.NewEngine(c.Control, r); err != nil {
+		return err
+	}
+	<-untilSignal().Done()
+	r.Close()
+	return nil
+}
--- /dev/null
+++ b/pkg/reducer/state.go
@@ -0,0 +1,169 @@
+package reducer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// State is the configuration after a prefix of the log. It is immutable: every With method returns a new value.
+type State struct {
+	// Version is the offset plus one of the last accepted record. It never falls.
+	Version uint64
+	// Position is the offset of the next record to apply. It never falls and is at least Version.
+	Position uint64
+	// Services by name. Every service names a declared stable version.
+	Services map[string]*schema.Service
+	// Routes by name. Every route names a service in Services.
+	Routes map[string]*schema.Route
+	// Rollouts by name. Every rollout names a service and two of its versions; at most one per service is open.
+	Rollouts map[string]*schema.Rollout
+	// Presets by name.
+	Presets map[string]*schema.Preset
+	// ActivePreset is empty or names a preset in Presets.
+	ActivePreset string
+	// DrainedNodes are the nodes whose upstreams an operator has drained.
+	DrainedNodes map[string]bool
+	// Verdicts are those of the last maxVerdicts records, oldest first.
+	Verdicts []*schema.Verdict
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{
+		Services:     map[string]*schema.Service{},
+		Routes:       map[string]*schema.Route{},
+		Rollouts:     map[string]*schema.Rollout{},
+		Presets:      map[string]*schema.Preset{},
+		DrainedNodes: map[string]bool{},
+	}
+}
+
+// WithPosition returns the state moved to a position without any other change.
+func (s *State) WithPosition(position uint64) *State {
+	next := *s
+	next.Position = position
+	return &next
+}
+
+// withVerdict returns the state with one more verdict and without the oldest beyond the bound.
+func (s *State) withVerdict(v *schema.Verdict) *State {
+	next := *s
+	start := max(0, len(s.Verdicts)+1-maxVerdicts)
+	next.Verdicts = append(slices.Clone(s.Verdicts[start:]), v)
+	return &next
+}
+
+// clone returns a state whose maps can be changed without touching the receiver.
+func (s *State) clone() *State {
+	next := *s
+	next.Services = maps.Clone(s.Services)
+	next.Routes = maps.Clone(s.Routes)
+	next.Rollouts = maps.Clone(s.Rollouts)
+	next.Presets = maps.Clone(s.Presets)
+	next.DrainedNodes = maps.Clone(s.DrainedNodes)
+	return &next
+}
+
+// Preset returns the preset in force, or the zero preset.
+func (s *State) Preset() *schema.Preset {
+	if p, ok := s.Presets[s.ActivePreset]; ok {
+		return p
+	}
+	return &schema.Preset{}
+}
+
+// OpenRollout returns the open rollout of a service, or nil.
+func (s *State) OpenRollout(service string) *schema.Rollout {
+	for _, r := range s.Rollouts {
+		if r.Service == service && r.Phase == schema.RolloutPhase_ROLLOUT_PHASE_OPEN {
+			return r
+		}
+	}
+	return nil
+}
+
+// FindVerdict returns the verdict on a record id, or nil.
+func (s *State) FindVerdict(id string) *schema.Verdict {
+	for i := len(s.Verdicts) - 1; i >= 0; i-- {
+		if s.Verdicts[i].Id == id {
+			return s.Verdicts[i]
+		}
+	}
+	return nil
+}
+
+func sortedValues[V any](m map[string]V) []V {
+	values := make([]V, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		values = append(values, m[k])
+	}
+	return values
+}
+
+// Encode returns the state as a message with sorted lists.
+func (s *State) Encode() *schema.State {
+	return &schema.State{
+		Version:      s.Version,
+		Position:     s.Position,
+		Services:     sortedValues(s.Services),
+		Routes:       sortedValues(s.Routes),
+		Rollouts:     sortedValues(s.Rollouts),
+		Presets:      sortedValues(s.Presets),
+		ActivePreset: s.ActivePreset,
+		DrainedNodes: slices.Sorted(maps.Keys(s.DrainedNodes)),
+		Verdicts:     s.Verdicts,
+	}
+}
+
+// Digest returns a hash that is equal on nodes with equal states.
+func (s *State) Digest() uint64 {
+	bytes, err := proto.MarshalOptions{Deterministic: true}.Marshal(s.Encode())
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(bytes)
+}
+
+// DecodeState reads a state message and checks its references.
+func DecodeState(m *schema.State) (*State, error) {
+	s := NewState()
+	s.Version = m.GetVersion()
+	s.Position = m.GetPosition()
+	s.ActivePreset = m.GetActivePreset()
+	s.Verdicts = m.GetVerdicts()
+	index(s.Services, m.GetServices(), (*schema.Service).GetName)
+	index(s.Routes, m.GetRoutes(), (*schema.Route).GetName)
+	index(s.Rollouts, m.GetRollouts(), (*schema.Rollout).GetName)
+	index(s.Presets, m.GetPresets(), (*schema.Preset).GetName)
+	for _, n := range m.GetDrainedNodes() {
+		s.DrainedNodes[n] = true
+	}
+	if s.Version > s.Position {
+		return nil, invalid("version %d lies beyond position %d", s.Version, s.Position)
+	}
+	if err := Validate(s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func index[V any](m map[string]V, values []V, name func(V) string) {
+	for _, v := range values {
+		m[name(v)] = v
+	}
+}
+
+// SortedRoutes returns the routes with the longest path prefix first, then by name.
+func (s *State) SortedRoutes() []*schema.Route {
+	routes := sortedValues(s.Routes)
+	slices.SortStableFunc(routes, func(a, b *schema.Route) int {
+		return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+	})
+	return routes
+}
--- /dev/null
+++ b/pkg/reducer/validator.go
@@ -0,0 +1,72 @@
+package reducer
+
+import (
+	"slices"
+
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// Validate checks every reference of a state.
+func Validate(s *State) error {
+	for _, service := range sortedValues(s.Services) {
+		if !slices.Contains(service.Versions, service.StableVersion) {
+			return invalid("service %q lacks its stable version %q", service.Name, service.StableVersion)
+		}
+	}
+	if err := validateRoutes(s); err != nil {
+		return err
+	}
+	if err := validateRollouts(s); err != nil {
+		return err
+	}
+	if _, ok := s.Presets[s.ActivePreset]; s.ActivePreset != "" && !ok {
+		return invalid("the active preset %q is missing", s.ActivePreset)
+	}
+	for _, p := range sortedValues(s.Presets) {
+		if !(p.FirstShare > 0 && p.FirstShare <= 1) {
+			return invalid("preset %q has the first share %v, outside 0 to 1", p.Name, p.FirstShare)
+		}
+	}
+	return nil
+}
+
+func validateRoutes(s *State) error {
+	for _, r := range sortedValues(s.Routes) {
+		if _, ok := s.Services[r.Service]; !ok {
+			return invalid("route %q names the missing service %q", r.Name, r.Service)
+		}
+		if r.Name == "" || r.PathPrefix == "" || r.PathPrefix[0] != '/' {
+			return invalid("route %q has no path prefix", r.Name)
+		}
+	}
+	return nil
+}
+
+func validateRollouts(s *State) error {
+	open := map[string]string{}
+	for _, r := range sortedValues(s.Rollouts) {
+		if r.Phase != schema.RolloutPhase_ROLLOUT_PHASE_OPEN {
+			continue
+		}
+		service, ok := s.Services[r.Service]
+		if !ok {
+			return invalid("rollout %q names the missing service %q", r.Name, r.Service)
+		}
+		for _, v := range []string{r.From, r.To} {
+			if !slices.Contains(service.Versions, v) {
+				return invalid("rollout %q names the missing version %q of %q", r.Name, v, r.Service)
+			}
+		}
+		if other, ok := open[r.Service]; ok {
+			return invalid("service %q has two open rollouts, %q and %q", r.Service, other, r.Name)
+		}
+		open[r.Service] = r.Name
+	}
+	return nil
+}
+
+// Check validates declarations as one record on an empty configuration.
+func Check(declarations []*schema.Declaration, nowUnixMs int64) error {
+	_, err := applyPublish(NewState().WithPosition(1), &schema.Publish{Declarations: declarations}, nowUnixMs)
+	return err
+}
