Add the soak, and end an attempt before its call is tried again

A node refused a call as not run after more than a second; by then a claim about the same attempt was parked there. The refusal started another attempt, and the claim's answer (fenced) then started a second one beside it.

Ruled out: the fence itself (the first node never ran the calls); the callers' own transport (it never sent a POST again).

Change: every new try and every refusal first ends whatever is under way for the call, and taking back more runs than were sent is an invariant now.

--- a/internal/controller/appender.go
+++ b/internal/controller/appender.go
@@ -21,7 +21,7 @@
 type appendJob struct {
 	stream string
 	body   []byte
-	// what names the record in the logs.
+	// what names the record in the logs; it is the id of a configuration record.
 	what string
 }
 
@@ -76,6 +76,13 @@
 	}
 }
 
+// seen tells whether a record has come back from the log although its append gave no answer.
+func (a *appender) seen(id string) bool {
+	seen := false
+	a.controller.do(func() { seen = a.controller.state.FindVerdict(id) != nil })
+	return seen
+}
+
 func (a *appender) append(j appendJob) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = 100 * time.Millisecond
@@ -86,6 +93,9 @@
 			return
 		}
 		a.controller.common.Logger.Warn("append failed", "record", j.what, "reason", err)
+		if a.seen(j.what) {
+			return
+		}
 		select {
 		case <-a.ctx.Done():
 			return
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -127,6 +127,7 @@
 	if x.ended || x.headSent {
 		return
 	}
+	x.dropAttempts()
 	f := x.forwarder
 	if run == runNo {
 		f.common.Checker.Assert(x.runs == 0 || x.idempotent, checker.NotRunTrue, "call %x refused as not run after %d runs", x.id, x.runs)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -111,7 +111,11 @@
 }
 
 // unsend takes markSent back, once it is known that the request did not run.
-func (a *attempt) unsend() { a.exchange.runs-- }
+func (a *attempt) unsend() {
+	x := a.exchange
+	x.runs--
+	x.forwarder.common.Checker.Assert(x.runs >= 0, checker.AtMostOnce, "call %x taken back more often than sent", x.id)
+}
 
 func (a *attempt) requestHead() []byte {
 	x := a.exchange
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -107,6 +107,7 @@
 
 // retryNotRun tries another upstream after a refusal that is known not to have run.
 func (x *exchange) retryNotRun(reason string) {
+	x.dropAttempts()
 	if x.awaitsOwner() {
 		x.tryNextOwner()
 		return
@@ -124,6 +125,7 @@
 
 // retryUnknown tries another upstream after an attempt that may have run.
 func (x *exchange) retryUnknown(reason string) {
+	x.dropAttempts()
 	if x.idempotent && x.runs < maxRuns && x.mayRetry() {
 		x.dispatch()
 		return
--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -2,6 +2,7 @@
 package logclient
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -74,7 +75,7 @@
 }
 
 func decode(operation string, a requester.Answer, into any) error {
-	cause := fmt.Errorf("status %d: %s", a.Status, a.Body)
+	cause := fmt.Errorf("status %d: %s", a.Status, bytes.TrimSpace(a.Body))
 	switch a.Status {
 	case http.StatusOK:
 		if err := json.Unmarshal(a.Body, into); err != nil {
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -15,9 +15,7 @@
 )
 
 const (
-	// connectionsPerHost bounds the connections to one address.
-	connectionsPerHost = 16
-	// clientTimeout bounds any request; callers give shorter ones by context.
+	// clientTimeout bounds any request; contexts give shorter ones.
 	clientTimeout = 15 * time.Second
 	handlers      = 64
 )
@@ -41,15 +39,14 @@
 	Body   []byte
 }
 
-// Requester sends requests. Its methods are safe for concurrent use.
+// Requester sends each request over a connection of its own: nbhttp's pooled client loses
+// connections of its pool when peers restart. Its methods are safe for concurrent use.
 type Requester struct {
-	client *nbhttp.Client
+	engine *nbhttp.Engine
 }
 
 // New returns a Requester on a started engine.
-func New(engine *nbhttp.Engine) *Requester {
-	return &Requester{client: &nbhttp.Client{Engine: engine, Timeout: clientTimeout, MaxConnsPerHost: connectionsPerHost}}
-}
+func New(engine *nbhttp.Engine) *Requester { return &Requester{engine: engine} }
 
 // NewEngine starts an engine that serves a handler on an address, or clients only if the address is empty.
 func NewEngine(address string, handler http.Handler) (*nbhttp.Engine, error) {
@@ -76,9 +73,14 @@
 	if err != nil {
 		return Answer{}, &Error{Operation: method + " " + url, Kind: "request", Cause: err}
 	}
+	request.Close = true
 	done := make(chan outcome, 1)
-	r.client.Do(request, func(response *http.Response, _ net.Conn, err error) {
-		done <- gather(response, err)
+	connection := &nbhttp.ClientConn{Engine: r.engine, Timeout: clientTimeout}
+	defer closeLater(r.engine, connection)
+	r.engine.ExecuteClient(func() {
+		connection.Do(request, func(response *http.Response, _ net.Conn, err error) {
+			done <- gather(response, err)
+		})
 	})
 	select {
 	case <-ctx.Done():
@@ -91,6 +93,11 @@
 	}
 }
 
+// closeLater ends a connection on another goroutine, since its lock may be held for a dial.
+func closeLater(engine *nbhttp.Engine, c *nbhttp.ClientConn) {
+	engine.ExecuteClient(c.Close)
+}
+
 func gather(response *http.Response, err error) outcome {
 	if err != nil {
 		return outcome{err: err}
--- a/internal/standin/harness/mesh.go
+++ b/internal/standin/harness/mesh.go
@@ -235,6 +235,15 @@
 	return strings.Join(late, " ")
 }
 
+// DumpSilent dumps the nodes that run and do not answer.
+func (m *Mesh) DumpSilent() {
+	for _, vm := range m.VMs {
+		if _, ok := m.Status(vm); !ok && vm.Node.Running() {
+			vm.Node.Dump()
+		}
+	}
+}
+
 // SetFaults switches the log's faults.
 func (m *Mesh) SetFaults(f logserver.Faults) {
 	body, _ := json.Marshal(f)
--- a/internal/standin/harness/process.go
+++ b/internal/standin/harness/process.go
@@ -78,6 +78,9 @@
 	<-p.exited
 }
 
+// Dump makes a Go program write its goroutines to its output and end.
+func (p *Process) Dump() { p.signal(syscall.SIGQUIT) }
+
 // Freeze stops the program without ending it; Thaw lets it go on.
 func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
 
--- a/internal/standin/standinapp/standinapp.go
+++ b/internal/standin/standinapp/standinapp.go
@@ -27,6 +27,7 @@
 	Caller   callerCommand   `cmd:"" help:"Send load and report what came back."`
 	Relay    relayCommand    `cmd:"" help:"Relay TCP connections, with faults."`
 	Demo     demoCommand     `cmd:"" help:"Run the whole system and check what it claims."`
+	Soak     soakCommand     `cmd:"" help:"Run a mesh under random load, failures and operators."`
 }
 
 // Main parses the arguments, runs the command and returns the exit code.
