Compare versions by CUSUM over two baselines, and bench the rollout decisions

Ruled out: a higher threshold for all (it doubled the time to see a version that fails at once). The prior of 200 calls at the floor drowned the old version's true rate on routes with few calls; the slow limit lay at four times the old p90.

Change: the old version's rate is the higher of a long and a short while, with the whole service as prior; the threshold grows with the natural rate; evidence on the new version is held back 400 ms until that of the old one has come; the first step waits for calls on every route while the deadline leaves time.

--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,62 @@
+package admitter_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/admitter"
+)
+
+// TestModel checks random sequences: never more in flight than slots, never a longer queue than
+// allowed, a slot goes to the highest waiting priority, and nothing is lost.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		length := rapid.IntRange(0, 5).Draw(t, "length")
+		var a admitter.Admitter[int]
+		a.SetLimits(slots, length)
+		waiting := map[int]int{}
+		running := 0
+		for item := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "enter") {
+				rank := rapid.IntRange(0, 3).Draw(t, "rank")
+				verdict, evicted, hasEvicted := a.Enter(item, rank)
+				if hasEvicted {
+					if waiting[evicted] <= rank {
+						t.Fatalf("rank %d made room for rank %d", waiting[evicted], rank)
+					}
+					delete(waiting, evicted)
+				}
+				switch verdict {
+				case admitter.Granted:
+					running++
+				case admitter.Queued:
+					waiting[item] = rank
+				case admitter.Refused:
+					if len(waiting) < length {
+						t.Fatalf("refused with %d of %d waiting", len(waiting), length)
+					}
+				}
+			} else if running > 0 {
+				running--
+				a.Release()
+				if next, ok := a.Next(); ok {
+					for _, rank := range waiting {
+						if rank < waiting[next] {
+							t.Fatalf("rank %d went before rank %d", waiting[next], rank)
+						}
+					}
+					delete(waiting, next)
+					running++
+				}
+			}
+			if running > slots || len(waiting) > length || a.InFlight() != running || a.Queued() != len(waiting) {
+				t.Fatalf("running %d of %d, waiting %d of %d, counted %d and %d", running, slots, len(waiting), length, a.InFlight(), a.Queued())
+			}
+			if len(waiting) > 0 && running < slots {
+				t.Fatalf("a slot is free while %d wait", len(waiting))
+			}
+		}
+	})
+}
--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -51,7 +51,7 @@
 		k.recordRollout(r, "rollout-controller", nil)
 	}
 	s.reportedAt = now
-	s.trial.Observe(report.Evidence)
+	s.trial.Observe(report.Evidence, now)
 	k.decide(s, now)
 }
 
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -12,6 +12,8 @@
 const (
 	// floorCalls is the least evidence for a step, whatever the deadline.
 	floorCalls = 5
+	// routeCalls is the least evidence on each route before the first step ends.
+	routeCalls = 4
 	// holdShare of the rollback threshold keeps a rollout on its step until the suspicion fades.
 	holdShare = 0.4
 	// minStep bounds how much a near deadline shortens a step.
@@ -58,6 +60,7 @@
 // Decide returns the next action. One call moves at most one step.
 func (t *Trial) Decide(now time.Time, step int) Decision {
 	t.decay(now)
+	t.judgePending(now)
 	if step != t.step {
 		t.step, t.stepSince, t.stepCalls = step, now, 0
 	}
@@ -74,7 +77,7 @@
 	case t.step >= last:
 		d.Completed = elapsed >= t.watch()
 		d.Reason = "all traffic moved and the watch period passed"
-	case elapsed >= t.stepTime(now) && t.stepCalls >= t.neededCalls(now):
+	case elapsed >= t.stepTime(now) && t.stepCalls >= t.neededCalls(now) && t.everyRouteTried(now):
 		t.step, t.stepSince, t.stepCalls = t.step+1, now, 0
 		d.Step = t.step
 	}
@@ -112,6 +115,20 @@
 	return needed
 }
 
+// everyRouteTried tells whether the new version has taken a few calls on every route that the old one
+// serves. Only the first step waits for that, and only while the deadline leaves the time.
+func (t *Trial) everyRouteTried(now time.Time) bool {
+	if t.step > 0 || now.Sub(t.stepSince) > t.budget(now) {
+		return true
+	}
+	for _, r := range t.routes {
+		if r.old.slow.calls >= 1 && r.newCalls < routeCalls {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *Trial) atRisk(now time.Time) bool {
 	last := LastStep(t.config.Preset)
 	if t.step >= last {
--- a/internal/roller/trial.go
+++ b/internal/roller/trial.go
@@ -6,19 +6,18 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
-// baselineHalfLife is the time in which the old version's counts lose half of their weight.
-const baselineHalfLife = 20 * time.Second
+// judgeDelay holds the new version's evidence back until that of the old one from the same time has come.
+const judgeDelay = 400 * time.Millisecond
 
-// Latency beyond slowFactor times the old version's slowQuantile counts as slow.
+// Latency beyond twice the old version's slowQuantile counts as slow.
 const (
 	slowQuantile      = 0.9
-	slowFactorBuckets = 2 * bucketsPerDoubling
+	slowFactorBuckets = bucketsPerDoubling
 	minBaselineCalls  = 10
 )
 
@@ -33,9 +32,12 @@
 
 // Trial is the state of one open rollout at its controller.
 type Trial struct {
-	config Config
-	routes map[string]*routeTrial
-	step   int
+	config  Config
+	service baseline
+	routes  map[string]*routeTrial
+	// pending holds the new version's evidence, oldest first, until judgeDelay has passed.
+	pending []pendingEvidence
+	step    int
 	// stepSince is when the step was reached; stepCalls counts calls to the new version since then.
 	stepSince time.Time
 	stepCalls uint64
@@ -43,13 +45,14 @@
 	reason    string
 }
 
+type pendingEvidence struct {
+	at       time.Time
+	evidence *schema.Evidence
+}
+
 // routeTrial compares the versions on one route.
 type routeTrial struct {
-	// Decayed counts of the old version. They stay as they are once it takes no traffic.
-	calls      float64
-	failures   float64
-	rejections float64
-	latencies  histogram
+	old baseline
 
 	failed      cusum
 	grossFailed cusum
@@ -69,54 +72,61 @@
 func (t *Trial) Rollout() *schema.Rollout { return t.config.Rollout }
 
 // Observe takes in evidence from one node.
-func (t *Trial) Observe(evidence []*schema.Evidence) {
+func (t *Trial) Observe(evidence []*schema.Evidence, now time.Time) {
 	for _, e := range evidence {
-		r, ok := t.routes[e.Route]
-		if !ok {
-			r = &routeTrial{}
-			t.routes[e.Route] = r
-		}
 		switch e.Version {
 		case t.config.Rollout.From:
-			r.addOld(e)
+			t.service.add(e)
+			t.route(e.Route).old.add(e)
 		case t.config.Rollout.To:
 			t.stepCalls += e.Calls
-			r.addNew(e)
-			t.judge(e.Route, r)
+			t.pending = append(t.pending, pendingEvidence{at: now, evidence: e})
 		}
 	}
 }
 
-func (r *routeTrial) addOld(e *schema.Evidence) {
-	r.calls += float64(e.Calls)
-	r.failures += float64(e.Failures)
-	r.rejections += float64(e.Rejections)
-	r.latencies.add(e.LatencyBuckets)
+func (t *Trial) route(name string) *routeTrial {
+	r, ok := t.routes[name]
+	if !ok {
+		r = &routeTrial{}
+		t.routes[name] = r
+	}
+	return r
+}
+
+// judgePending judges the evidence that has been held back long enough.
+func (t *Trial) judgePending(now time.Time) {
+	for len(t.pending) > 0 && now.Sub(t.pending[0].at) >= judgeDelay {
+		e := t.pending[0].evidence
+		t.pending = t.pending[1:]
+		r := t.route(e.Route)
+		r.addNew(e, &t.service)
+		t.judge(e.Route, r)
+	}
 }
 
-func (r *routeTrial) addNew(e *schema.Evidence) {
+func (r *routeTrial) addNew(e *schema.Evidence, service *baseline) {
 	r.newCalls += e.Calls
 	r.newFailures += e.Failures
 	calls := float64(e.Calls)
-	good, bad := failures.rates(r.failures, r.calls)
-	r.failed.add(float64(e.Failures), calls, good, bad)
-	good, bad = grossFailures.rates(r.failures, r.calls)
-	r.grossFailed.add(float64(e.Failures), calls, good, bad)
-	good, bad = rejections.rates(r.rejections, r.calls)
-	r.rejected.add(float64(e.Rejections), calls, good, bad)
+	old := r.old.rate(failureEvents, service, failures.floor)
+	r.failed.add(failures, float64(e.Failures), calls, old)
+	r.grossFailed.add(grossFailures, float64(e.Failures), calls, old)
+	old = r.old.rate(rejectionEvents, service, rejections.floor)
+	r.rejected.add(rejections, float64(e.Rejections), calls, old)
 	r.addLatencies(e)
 }
 
+// addLatencies compares with the same route only: routes differ in latency by nature.
 func (r *routeTrial) addLatencies(e *schema.Evidence) {
-	total := r.latencies.total()
-	if total < minBaselineCalls {
+	if r.old.slow.latencies.total() < minBaselineCalls {
 		return
 	}
-	limit := r.latencies.quantile(slowQuantile) + slowFactorBuckets
-	good, bad := slowness.rates(r.latencies.above(limit), total)
+	limit := r.old.slow.latencies.quantile(slowQuantile) + slowFactorBuckets
 	var fresh histogram
 	fresh.add(e.LatencyBuckets)
-	r.slowed.add(fresh.above(limit), fresh.total(), good, bad)
+	old := r.old.rate(slowEvents(limit), &r.old, slowness.floor)
+	r.slowed.add(slowness, fresh.above(limit), fresh.total(), old)
 }
 
 // judge notes the first measure that passes the threshold.
@@ -133,12 +143,12 @@
 }
 
 func (r *routeTrial) worst() (name string, score float64) {
-	name, score = failures.name, max(r.failed.score, r.grossFailed.score)
-	if r.rejected.score > score {
-		name, score = rejections.name, r.rejected.score
+	name, score = failures.name, max(r.failed.excess(), r.grossFailed.excess())
+	if e := r.rejected.excess(); e > score {
+		name, score = rejections.name, e
 	}
-	if r.slowed.score > score {
-		name, score = slowness.name, r.slowed.score
+	if e := r.slowed.excess(); e > score {
+		name, score = slowness.name, e
 	}
 	return name, score
 }
@@ -156,18 +166,15 @@
 // decay lets the old version's counts fade while it takes traffic.
 func (t *Trial) decay(now time.Time) {
 	elapsed := now.Sub(t.decayedAt)
-	if elapsed < time.Second {
-		return
-	}
 	t.decayedAt = now
-	if t.step >= LastStep(t.config.Preset) {
-		return
-	}
-	factor := math.Pow(0.5, float64(elapsed)/float64(baselineHalfLife))
+	frozen := t.step >= LastStep(t.config.Preset)
 	for _, r := range t.routes {
-		r.calls *= factor
-		r.failures *= factor
-		r.rejections *= factor
-		r.latencies.decay(factor)
+		r.old.frozen = frozen
+		if !frozen {
+			r.old.decay(elapsed)
+		}
+	}
+	if !frozen {
+		t.service.decay(elapsed)
 	}
 }
--- /dev/null
+++ b/internal/standin/rollouts/run.go
@@ -0,0 +1,153 @@
+package rollouts
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/roller"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+const (
+	// tick is the interval of reports.
+	tick = 200 * time.Millisecond
+	// upstreams is the number of upstreams of a version.
+	upstreams     = 3
+	medianLatency = 4 * time.Millisecond
+	// latencySpread is the standard deviation of the logarithm of a latency.
+	latencySpread = 0.4
+)
+
+// Result is the end of one run.
+type Result struct {
+	RolledBack bool
+	Completed  bool
+	Reason     string
+	// Took is the time until the end; OnTime tells that all traffic had moved by the deadline.
+	Took   time.Duration
+	OnTime bool
+	// NewShare is the share of calls that the new version took until the end.
+	NewShare float64
+	// BadCalls counts failed or slow calls of the new version.
+	BadCalls int
+}
+
+// Judge decides on a rollout. The product's is roller.Trial; the bench has a simpler one.
+type Judge interface {
+	Observe([]*schema.Evidence, time.Time)
+	Decide(now time.Time, step int) roller.Decision
+}
+
+// NewJudge makes the judge of one controller.
+type NewJudge func(roller.Config) Judge
+
+// Trial is the product's judge.
+func Trial(c roller.Config) Judge { return roller.New(c) }
+
+// run is the state of one run.
+type run struct {
+	scenario Scenario
+	preset   *schema.Preset
+	random   *rand.Rand
+	newCalls int
+	allCalls int
+	badCalls int
+	sum      float64
+}
+
+// Run drives one rollout from its declaration to its end.
+func Run(s Scenario, p *schema.Preset, judge NewJudge, seed uint64) Result {
+	r := &run{scenario: s, preset: p, random: rand.New(rand.NewPCG(seed, 3))}
+	start := time.Unix(1_000_000, 0)
+	rollout := &schema.Rollout{Name: "x", Service: "a", From: "v1", To: "v2", DeadlineUnixMs: start.Add(s.Deadline).UnixMilli()}
+	deaths := s.ControllerDies
+	step := 0
+	var result Result
+	j := judge(roller.Config{Rollout: rollout, Preset: p, Now: start})
+	longest := 2*s.Deadline + 2*time.Duration(p.WatchMs)*time.Millisecond
+	for age := time.Duration(0); age < longest; age += tick {
+		now := start.Add(age)
+		if len(deaths) > 0 && age >= deaths[0] {
+			deaths = deaths[1:]
+			j = judge(roller.Config{Rollout: rollout, Preset: p, Now: now, Step: step})
+		}
+		j.Observe(r.evidence(age, roller.ShareAt(p, step)), now)
+		d := j.Decide(now, step)
+		result.Took = age
+		if d.RolledBack || d.Completed {
+			result.RolledBack, result.Completed, result.Reason = d.RolledBack, d.Completed, d.Reason
+			break
+		}
+		step = d.Step
+		if step == roller.LastStep(p) && age <= s.Deadline {
+			result.OnTime = true
+		}
+	}
+	result.NewShare = float64(r.newCalls) / float64(max(r.allCalls, 1))
+	result.BadCalls = r.badCalls
+	return result
+}
+
+// evidence makes up the calls of one tick.
+func (r *run) evidence(age time.Duration, share float64) []*schema.Evidence {
+	byRoute := map[[2]string]*schema.Evidence{}
+	for range r.poisson(r.scenario.Rate * tick.Seconds()) {
+		r.allCalls++
+		version, behaviour := "v1", r.scenario.Old
+		if r.sum += share; r.sum >= 1 {
+			r.sum--
+			version, behaviour = "v2", r.scenario.New
+			r.newCalls++
+		}
+		r.count(byRoute, Situation{Route: r.route(), Age: age, Share: share, Upstream: r.random.IntN(upstreams)}, version, behaviour)
+	}
+	var all []*schema.Evidence
+	for _, e := range byRoute {
+		all = append(all, e)
+	}
+	return all
+}
+
+func (r *run) count(byRoute map[[2]string]*schema.Evidence, s Situation, version string, b Behaviour) {
+	key := [2]string{s.Route, version}
+	e, ok := byRoute[key]
+	if !ok {
+		e = &schema.Evidence{Route: s.Route, Version: version, LatencyBuckets: make([]uint64, roller.LatencyBuckets)}
+		byRoute[key] = e
+	}
+	failRate, slowFactor := b(s)
+	e.Calls++
+	failed := r.random.Float64() < failRate
+	if failed {
+		e.Failures++
+	}
+	if version == "v2" && (failed || slowFactor > 1) {
+		r.badCalls++
+	}
+	if version == "v2" && s.Age < r.scenario.ColdFor {
+		return
+	}
+	latency := float64(medianLatency) * slowFactor * math.Exp(latencySpread*r.random.NormFloat64())
+	e.LatencyBuckets[roller.LatencyBucket(time.Duration(latency))]++
+}
+
+func (r *run) route() string {
+	at := r.random.Float64()
+	for _, name := range []string{"status", "lookup", "rare"} {
+		if at -= r.scenario.Routes[name]; at < 0 {
+			return name
+		}
+	}
+	return "status"
+}
+
+// poisson draws the number of calls in a tick.
+func (r *run) poisson(mean float64) int {
+	limit := math.Exp(-mean)
+	n := 0
+	for p := r.random.Float64(); p > limit; p *= r.random.Float64() {
+		n++
+	}
+	return n
+}
--- a/internal/standin/standinapp/standinapp.go
+++ b/internal/standin/standinapp/standinapp.go
@@ -28,6 +28,7 @@
 	Relay    relayCommand    `cmd:"" help:"Relay TCP connections, with faults."`
 	Demo     demoCommand     `cmd:"" help:"Run the whole system and check what it claims."`
 	Soak     soakCommand     `cmd:"" help:"Run a mesh under random load, failures and operators."`
+	Bench    benchCommand    `cmd:"" help:"Measure the system against simpler baselines."`
 }
 
 // Main parses the arguments, runs the command and returns the exit code.
