Stream chunked bodies, keep writing while reading is held back, and test the forwarder

Cause: the first tests of long bodies failed three ways. (1) nbhttp's parser gathers a whole chunk; an upstream that writes 4 MB at once sends one chunk of 4 MB, which passed the parser's limit and cut the answer. (2) A connection that is held back for reading and has output to write lost its write event when input came, and stalled for good. (3) A full-duplex echo lost 262145 bytes: that one was net/http's server in the test, which drops part of a request once the answer begins.

Change: the reader decodes chunks itself as they come; a held-back connection with output sets its event again every millisecond; the node runs Go code on two threads by default.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
@@ -38,6 +39,7 @@
 
 // Run serves until SIGTERM or SIGINT, then shuts down gracefully.
 func (n *Node) Run() error {
+	runtime.GOMAXPROCS(n.Threads)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(n.MemoryLimitMB) << 20)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/internal/forwarder/chunks_test.go
@@ -0,0 +1,49 @@
+package forwarder
+
+import (
+	"bytes"
+	"io"
+	"net/http/httputil"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// decodeInPieces feeds a body byte by byte or whole.
+func decodeInPieces(body []byte, size int) (decoded []byte, done bool, err error) {
+	d := &chunkDecoder{}
+	for len(body) > 0 && !d.done() {
+		piece := body[:min(size, len(body))]
+		n, err := d.decode(piece, func(b []byte) error {
+			decoded = append(decoded, b...)
+			return nil
+		})
+		if err != nil {
+			return decoded, false, err
+		}
+		body = body[n:]
+	}
+	return decoded, d.done(), nil
+}
+
+// FuzzChunks compares the decoder with net/http's: what ours takes as whole, theirs reads alike,
+// and cutting the input differently changes nothing.
+func FuzzChunks(f *testing.F) {
+	f.Add([]byte("5\r\nhello\r\n0\r\n\r\n"))
+	f.Add([]byte("a;x=y\r\n0123456789\r\n0\r\nTrailer: z\r\n\r\n"))
+	f.Add([]byte("ffffffffffffffffff\r\n"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		whole, done, err := decodeInPieces(body, len(body)+1)
+		single, singleDone, singleErr := decodeInPieces(body, 1)
+		qt.Assert(t, singleDone, qt.Equals, done)
+		qt.Assert(t, singleErr == nil, qt.Equals, err == nil)
+		qt.Assert(t, bytes.Equal(whole, single), qt.IsTrue)
+		if !done {
+			return
+		}
+		theirs, err := io.ReadAll(httputil.NewChunkedReader(bytes.NewReader(body)))
+		if err == nil {
+			qt.Assert(t, bytes.Equal(whole, theirs), qt.IsTrue)
+		}
+	})
+}
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
@@ -39,6 +40,8 @@
 	closed    bool
 	// paused tells that the read event is not armed, so that the peer is held back.
 	paused bool
+	// rearming tells that rearm is due.
+	rearming bool
 	// pending is the output not yet taken by the kernel, in bytes.
 	pending atomic.Int64
 	// above tells that pending was above highWater and onDrained is due.
@@ -133,6 +136,7 @@
 	buffer := n.forwarder.buffer
 	for !n.closed {
 		if n.paused && !n.peerFinished() {
+			n.keepWriting()
 			return
 		}
 		count, err := n.c.Read(buffer)
@@ -160,6 +164,28 @@
 	}
 }
 
+// rearmDelay paces the looks at a connection that is held back for reading and has output to write.
+const rearmDelay = time.Millisecond
+
+// keepWriting sets the event again later for the sake of the output: it can't be set for
+// writing alone, and set at once it would come again and again for the input.
+func (n *conn) keepWriting() {
+	if n.rearming || n.pending.Load() == 0 {
+		return
+	}
+	n.rearming = true
+	time.AfterFunc(rearmDelay, n.rearm)
+}
+
+func (n *conn) rearm() {
+	n.forwarder.mu.Lock()
+	defer n.forwarder.mu.Unlock()
+	n.rearming = false
+	if !n.closed && n.paused {
+		n.c.ResetPollerEvent()
+	}
+}
+
 // peerFinished tells that the peer has sent everything: the engine closes the connection after
 // this event, so that what the kernel still holds must be read now.
 func (n *conn) peerFinished() bool {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
@@ -28,7 +29,7 @@
 	x.tries++
 	e := x.choose(service)
 	if e == nil {
-		x.refuse(503, "no-upstream", runNo)
+		x.refuse(503, cmp.Or(x.lastRefusal, "no-upstream"), runNo)
 		return
 	}
 	if x.tried == nil {
@@ -107,6 +108,7 @@
 
 // retryNotRun tries another upstream after a refusal that is known not to have run.
 func (x *exchange) retryNotRun(reason string) {
+	x.lastRefusal = reason
 	x.dropAttempts()
 	if x.awaitsOwner() {
 		x.tryNextOwner()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -69,6 +69,8 @@
 	// runs counts the attempts that may have run. A non-idempotent call has at most one.
 	runs  int
 	tried map[string]bool
+	// lastRefusal is why the last try did not run.
+	lastRefusal string
 	// claimed is the attempt whose fate the claim asks for.
 	claimed *attempt
 	// freshConn asks for a new connection to the local upstream.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -128,6 +128,11 @@
 	return l, nil
 }
 
+// Addresses returns the addresses listened on for callers and for other nodes.
+func (f *Forwarder) Addresses() (callers, peers string) {
+	return f.listener[0].Addr().String(), f.listener[1].Addr().String()
+}
+
 func (f *Forwarder) onOpen(c *nbio.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/forwarder/mesh_test.go
@@ -0,0 +1,237 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+	"github.com/tamarackpitch/tamarackpitch/internal/common"
+	"github.com/tamarackpitch/tamarackpitch/internal/forwarder"
+	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
+	"github.com/tamarackpitch/tamarackpitch/internal/router"
+	"github.com/tamarackpitch/tamarackpitch/internal/settings"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// testNode is a forwarder with a hand-made view.
+type testNode struct {
+	*forwarder.Forwarder
+	name    string
+	common  *common.Common
+	crashes chan []uint64
+}
+
+func newNode(t *testing.T, name string) *testNode {
+	t.Helper()
+	n := &testNode{name: name, crashes: make(chan []uint64, 16)}
+	n.common = &common.Common{
+		Logger: hclog.NewNullLogger(),
+		Settings: settings.Node{Name: name, Zone: "a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", MaxInFlight: 100,
+			HeaderTimeout: time.Second, BodyIdleTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, SilenceAfter: 200 * time.Millisecond},
+		Checker: checker.New(checker.Config{Logger: hclog.NewNullLogger(), OnViolation: func(i checker.Invariant, detail string) {
+			t.Errorf("node %s: invariant %s violated: %s", name, i, detail)
+		}}),
+		Recorder: recorder.New(name, time.Now),
+	}
+	f, err := forwarder.New(forwarder.Config{Common: n.common, ReportCrash: func(f []uint64) { n.crashes <- f }})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(f.Close)
+	n.Forwarder = f
+	return n
+}
+
+func (n *testNode) url(path string) string {
+	callers, _ := n.Addresses()
+	return "http://" + callers + path
+}
+
+func (n *testNode) endpoint(version string) *balancer.Endpoint {
+	_, peers := n.Addresses()
+	return endpoint(n.name, version, peers)
+}
+
+func endpoint(name, version, address string) *balancer.Endpoint {
+	return &balancer.Endpoint{Node: name, Zone: "a", Service: "s", Version: version, PeerAddress: address, Slots: 4, Load: &balancer.Load{}}
+}
+
+// viewConfig describes a view of the one service s.
+type viewConfig struct {
+	endpoints []*balancer.Endpoint
+	local     *router.Local
+	preset    *schema.Preset
+	rollout   *router.Rollout
+	refused   map[uint64]bool
+	timeoutMs uint32
+}
+
+func (n *testNode) publish(c viewConfig) {
+	if c.timeoutMs == 0 {
+		c.timeoutMs = 20_000
+	}
+	if c.preset == nil {
+		c.preset = &schema.Preset{Classes: []string{"high", "low"}, RetryBudget: 0.1}
+	}
+	versions := map[string][]*balancer.Endpoint{}
+	for _, e := range c.endpoints {
+		versions[e.Version] = append(versions[e.Version], e)
+	}
+	view := &router.Snapshot{Ready: true, Node: n.name, Local: c.local, Refused: c.refused,
+		Services: map[string]*router.Service{"s": {Name: "s", Stable: "v1", Versions: versions, Owners: c.endpoints, Rollout: c.rollout}}}
+	n.Publish(view.WithPreset(c.preset).WithRoutes([]*schema.Route{
+		{Name: "get", Service: "s", PathPrefix: "/get", Methods: []string{"GET", "HEAD"}, Idempotent: true, Class: "low", TimeoutMs: c.timeoutMs},
+		{Name: "high", Service: "s", PathPrefix: "/high", Methods: []string{"GET"}, Idempotent: true, Class: "high", TimeoutMs: c.timeoutMs},
+		{Name: "post", Service: "s", PathPrefix: "/post", Methods: []string{"POST"}, Class: "low", TimeoutMs: c.timeoutMs},
+	}))
+}
+
+// upstreamServer counts the calls it runs.
+type upstreamServer struct {
+	address string
+	runs    atomic.Int64
+}
+
+func newUpstream(t *testing.T, handler http.HandlerFunc) *upstreamServer {
+	t.Helper()
+	u := &upstreamServer{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	u.address = l.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u.runs.Add(1)
+		handler(w, r)
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return u
+}
+
+func (u *upstreamServer) local(version string) *router.Local {
+	return &router.Local{Service: "s", Version: version, Address: u.address, Slots: 4, Connections: 16}
+}
+
+// answering returns a handler that answers with a text.
+func answering(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+// pair starts an entry node without an upstream and a node beside one.
+func pair(t *testing.T, handler http.HandlerFunc) (entry, beside *testNode, u *upstreamServer) {
+	t.Helper()
+	entry, beside = newNode(t, "entry"), newNode(t, "beside")
+	u = newUpstream(t, handler)
+	endpoints := []*balancer.Endpoint{beside.endpoint("v1")}
+	entry.publish(viewConfig{endpoints: endpoints})
+	beside.publish(viewConfig{endpoints: endpoints, local: u.local("v1")})
+	return entry, beside, u
+}
+
+// reply is a gathered answer.
+type reply struct {
+	status  int
+	body    string
+	run     string
+	refusal string
+	header  http.Header
+	err     error
+}
+
+func do(method, url, body string, headers ...string) reply {
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := (&http.Client{Transport: transport}).Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, body: string(text), run: response.Header.Get("Tamarackpitch-Run"),
+		refusal: response.Header.Get("Tamarackpitch-Refusal"), header: response.Header, err: err}
+}
+
+// scriptedPeer stands in for another node: the script gets each request with its operation.
+type scriptedPeer struct {
+	address string
+	mu      sync.Mutex
+	seen    []string
+}
+
+// script answers one request by writing to the connection; returning false closes it.
+type script func(operation string, w net.Conn) bool
+
+func newScriptedPeer(t *testing.T, s script) *scriptedPeer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	p := &scriptedPeer{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c, s)
+		}
+	}()
+	return p
+}
+
+func (p *scriptedPeer) serve(c net.Conn, s script) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		operation := request.Header.Get("Tamarackpitch-Operation")
+		p.mu.Lock()
+		p.seen = append(p.seen, operation)
+		p.mu.Unlock()
+		if !s(operation, c) {
+			return
+		}
+	}
+}
+
+func (p *scriptedPeer) operations() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.seen...)
+}
+
+func refuse(w io.Writer, status int, reason, run string) bool {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nTamarackpitch-Run: %s\r\nTamarackpitch-Refusal: %s\r\nContent-Length: 0\r\n\r\n", status, run, reason)
+	return true
+}
+
+// eventually waits for a condition that other goroutines bring about.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("never happened: %s", what)
+}
--- a/internal/forwarder/reader.go
+++ b/internal/forwarder/reader.go
@@ -12,12 +12,14 @@
 	maxHeaderBytes = 32 << 10
 	// maxHeaderLines bounds the header lines of a message.
 	maxHeaderLines = 128
-	// parseLimit bounds what the parser gathers: a short body or one chunk.
+	// parseLimit bounds what the parser gathers: a head or a short body.
 	parseLimit = 1 << 20
 	// gatherLimit is the longest body that is gathered before it is handed on.
 	gatherLimit = 64 << 10
 	// untilClose is the raw length of an answer that ends with its connection.
 	untilClose = -1
+	// untilLastChunk is the raw length of a body that comes in chunks.
+	untilLastChunk = -2
 )
 
 // parserEngine only carries the parser's limit.
@@ -35,8 +37,8 @@
 	isHead() bool
 }
 
-// reader parses one direction of a connection. nbhttp's parser gathers a body whole before it hands it on;
-// the reader takes over the raw bytes of long bodies, so that they stream.
+// reader parses one direction of a connection. nbhttp's parser gathers a body or chunk whole before it
+// hands it on; the reader takes over the raw bytes of long bodies and of chunks, so that they stream.
 type reader struct {
 	handler messageHandler
 	client  bool
@@ -51,7 +53,9 @@
 	raw    bool
 	// remaining is the number of raw bytes still to come, or untilClose.
 	remaining int64
-	rest      []byte
+	// chunks decodes a raw body that comes in chunks, or is nil.
+	chunks *chunkDecoder
+	rest   []byte
 }
 
 func newReader(h messageHandler, client bool) *reader {
@@ -65,6 +69,7 @@
 	r.hooked = false
 	r.raw = false
 	r.remaining = 0
+	r.chunks = nil
 	r.rest = nil
 }
 
@@ -116,6 +121,9 @@
 }
 
 func (r *reader) feedRaw(data []byte) (int, error) {
+	if r.chunks != nil {
+		return r.feedChunks(data)
+	}
 	n := len(data)
 	if r.remaining != untilClose {
 		n = int(min(int64(n), r.remaining))
@@ -133,6 +141,18 @@
 	return n, nil
 }
 
+func (r *reader) feedChunks(data []byte) (int, error) {
+	n, err := r.chunks.decode(data, r.handler.onBody)
+	if err != nil {
+		return n, err
+	}
+	if r.chunks.done() {
+		r.reset()
+		return n, r.end()
+	}
+	return n, nil
+}
+
 func (r *reader) end() error {
 	r.message = nil
 	r.inBody = false
@@ -232,6 +252,9 @@
 	if takeOver, raw := r.rawLength(m); takeOver {
 		r.hooked = true
 		r.remaining = raw
+		if m.chunked && raw == untilLastChunk {
+			r.chunks = &chunkDecoder{}
+		}
 		p.ParserCloser = r
 	}
 	r.inBody = true
@@ -250,7 +273,10 @@
 			return true, untilClose
 		}
 	}
-	return !m.chunked && m.length > gatherLimit, m.length
+	if m.chunked {
+		return true, untilLastChunk
+	}
+	return m.length > gatherLimit, m.length
 }
 
 // OnBody takes a gathered body or one chunk.
--- /dev/null
+++ b/internal/forwarder/run_test.go
@@ -0,0 +1,291 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+	"github.com/tamarackpitch/tamarackpitch/internal/router"
+)
+
+// withPeer returns an entry node whose only upstream of version v1 is beside a scripted peer, and
+// whose fallback is a real node.
+func withPeer(t *testing.T, s script) (entry *testNode, p *scriptedPeer, u *upstreamServer) {
+	t.Helper()
+	entry = newNode(t, "entry")
+	p = newScriptedPeer(t, s)
+	beside := newNode(t, "beside")
+	u = newUpstream(t, answering("fallback"))
+	real := beside.endpoint("v1")
+	// A cost far above the peer's sends the first try to the peer.
+	real.Zone = "far"
+	real.WarmAt = time.Now().Add(time.Hour)
+	entry.publish(viewConfig{endpoints: []*balancer.Endpoint{endpoint("peer", "v1", p.address), real}})
+	beside.publish(viewConfig{endpoints: []*balancer.Endpoint{real}, local: u.local("v1")})
+	return entry, p, u
+}
+
+// TestLostCallIsFencedBeforeRetry loses the connection of a payment: only after the node has
+// fenced the call may another upstream run it.
+func TestLostCallIsFencedBeforeRetry(t *testing.T) {
+	entry, p, u := withPeer(t, func(operation string, w net.Conn) bool {
+		if operation == "claim" {
+			return refuse(w, 409, "fenced", "no")
+		}
+		return false
+	})
+	r := do("POST", entry.url("/post"), "pay")
+	qt.Assert(t, r.body, qt.Equals, "fallback")
+	qt.Assert(t, p.operations(), qt.DeepEquals, []string{"call", "claim"})
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+}
+
+// TestUnknownFateIsToldAndNotRetried loses a payment whose node does not know its fate either.
+func TestUnknownFateIsToldAndNotRetried(t *testing.T) {
+	answers := map[string]script{
+		"started and lost": func(operation string, w net.Conn) bool {
+			return operation == "claim" && refuse(w, 502, "answer-lost", "unknown")
+		},
+		"node gone": func(string, net.Conn) bool { return false },
+	}
+	for name, s := range answers {
+		t.Run(name, func(t *testing.T) {
+			entry, _, u := withPeer(t, s)
+			r := do("POST", entry.url("/post"), "pay")
+			qt.Assert(t, r.status, qt.Equals, 502)
+			qt.Assert(t, r.run, qt.Equals, "unknown")
+			qt.Assert(t, u.runs.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
+// TestSilentConnectionIsClaimed leaves the first connection open without an answer: the answer comes over a new one.
+func TestSilentConnectionIsClaimed(t *testing.T) {
+	entry, _, u := withPeer(t, func(operation string, w net.Conn) bool {
+		if operation == "claim" {
+			_, _ = io.WriteString(w, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstored")
+		}
+		return true
+	})
+	r := do("POST", entry.url("/post"), "pay")
+	qt.Assert(t, r.body, qt.Equals, "stored")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(0))
+}
+
+// TestRefusalAfterParkedClaim refuses a silent call late, and then answers the claim about it:
+// the call must be tried once more, not twice. Found by soak seed 2.
+func TestRefusalAfterParkedClaim(t *testing.T) {
+	var calls net.Conn
+	entry, _, u := withPeer(t, func(operation string, w net.Conn) bool {
+		if operation == "call" {
+			calls = w
+			return true
+		}
+		_, _ = io.WriteString(w, "HTTP/1.1 102 Processing\r\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+		refuse(calls, 503, "leaving", "no")
+		time.Sleep(5 * time.Millisecond)
+		return refuse(w, 409, "fenced", "no")
+	})
+	for range 5 {
+		before := u.runs.Load()
+		r := do("POST", entry.url("/post"), "pay")
+		qt.Assert(t, r.body, qt.Equals, "fallback")
+		time.Sleep(50 * time.Millisecond)
+		qt.Assert(t, u.runs.Load(), qt.Equals, before+1)
+	}
+}
+
+// TestFrozenNode gives no answer on any connection: an idempotent call goes elsewhere, a payment does not.
+func TestFrozenNode(t *testing.T) {
+	entry, _, u := withPeer(t, func(string, net.Conn) bool { return true })
+	qt.Assert(t, do("GET", entry.url("/get"), "").body, qt.Equals, "fallback")
+	runs := u.runs.Load()
+	frozen := newScriptedPeer(t, func(string, net.Conn) bool { return true })
+	entry.publish(viewConfig{endpoints: []*balancer.Endpoint{endpoint("peer", "v1", frozen.address)}, timeoutMs: 800})
+	r := do("POST", entry.url("/post"), "pay")
+	qt.Assert(t, r.status, qt.Equals, 504)
+	qt.Assert(t, r.run, qt.Equals, "unknown")
+	qt.Assert(t, u.runs.Load(), qt.Equals, runs)
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	entry := newNode(t, "entry")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	closed := l.Addr().String()
+	_ = l.Close()
+	entry.publish(viewConfig{endpoints: []*balancer.Endpoint{endpoint("gone", "v1", closed)}})
+	r := do("POST", entry.url("/post"), "pay")
+	qt.Assert(t, r.run, qt.Equals, "no")
+	qt.Assert(t, r.status, qt.Equals, 503)
+}
+
+// TestDeadlines lets the time pass while a call waits for a slot, and while it runs.
+func TestDeadlines(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	beside := newNode(t, "beside")
+	u := newUpstream(t, func(http.ResponseWriter, *http.Request) { <-release })
+	local := u.local("v1")
+	local.Slots = 1
+	view := viewConfig{endpoints: []*balancer.Endpoint{beside.endpoint("v1")}, local: local, timeoutMs: 1500}
+	beside.publish(view)
+	running := make(chan reply)
+	go func() { running <- do("POST", beside.url("/post"), "a") }()
+	eventually(t, "the first call runs", func() bool { return u.runs.Load() == 1 })
+	view.timeoutMs = 100
+	beside.publish(view)
+	waiting := do("POST", beside.url("/post"), "b")
+	qt.Assert(t, waiting.run, qt.Equals, "no")
+	qt.Assert(t, (<-running).run, qt.Equals, "unknown")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+}
+
+// TestLeavingUpstreamGetsNoNewWork drains the upstream while calls wait: they are refused as not run, the running one ends.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	release := make(chan struct{})
+	entry, beside, u := pair(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "done")
+	})
+	endpoints := []*balancer.Endpoint{beside.endpoint("v1")}
+	local := u.local("v1")
+	local.Slots = 1
+	beside.publish(viewConfig{endpoints: endpoints, local: local})
+	replies := make(chan reply, 2)
+	go func() { replies <- do("POST", entry.url("/post"), "a") }()
+	eventually(t, "the first call runs", func() bool { return u.runs.Load() == 1 })
+	go func() { replies <- do("POST", entry.url("/post"), "b") }()
+	eventually(t, "the second call waits", func() bool { return beside.Stats().Relayed.Load() == 2 })
+	leaving := *local
+	leaving.Draining = true
+	beside.publish(viewConfig{endpoints: endpoints, local: &leaving})
+	r := <-replies
+	qt.Assert(t, r.run, qt.Equals, "no")
+	// The entry node has not heard of it: a new call is refused beside the upstream.
+	qt.Assert(t, do("POST", entry.url("/post"), "c").refusal, qt.Equals, "leaving")
+	close(release)
+	qt.Assert(t, (<-replies).body, qt.Equals, "done")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+}
+
+// TestCrashingRequestIsReported closes the upstream while a request runs.
+func TestCrashingRequestIsReported(t *testing.T) {
+	beside := newNode(t, "beside")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := &http.Server{}
+	server.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	endpoints := []*balancer.Endpoint{beside.endpoint("v1")}
+	local := &router.Local{Service: "s", Version: "v1", Address: l.Addr().String(), Slots: 1, Connections: 4}
+	beside.publish(viewConfig{endpoints: endpoints, local: local})
+	r := do("GET", beside.url("/get/poison"), "")
+	qt.Assert(t, r.run, qt.Equals, "unknown")
+	fingerprints := <-beside.crashes
+	qt.Assert(t, fingerprints, qt.HasLen, 1)
+	beside.publish(viewConfig{endpoints: endpoints, local: local, refused: map[uint64]bool{fingerprints[0]: true}})
+	r = do("GET", beside.url("/get/poison"), "")
+	qt.Assert(t, r.status, qt.Equals, 422)
+	qt.Assert(t, r.run, qt.Equals, "no")
+}
+
+// keyedMesh starts three nodes that share the keys of one service.
+func keyedMesh(t *testing.T, handler http.HandlerFunc) (nodes []*testNode, u *upstreamServer, view viewConfig) {
+	t.Helper()
+	u = newUpstream(t, handler)
+	for i := range 3 {
+		n := newNode(t, fmt.Sprintf("n%d", i))
+		nodes = append(nodes, n)
+		view.endpoints = append(view.endpoints, n.endpoint("v1"))
+	}
+	view.local = u.local("v1")
+	for _, n := range nodes {
+		n.publish(view)
+	}
+	return nodes, u, view
+}
+
+func TestKeyRunsOnce(t *testing.T) {
+	nodes, u, _ := keyedMesh(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(w, "paid")
+	})
+	replies := make(chan reply, 30)
+	for i := range 30 {
+		go func() { replies <- do("POST", nodes[i%3].url("/post"), "pay", "Idempotency-Key", "k1") }()
+	}
+	for range 30 {
+		r := <-replies
+		qt.Assert(t, r.err, qt.IsNil)
+		qt.Assert(t, r.body, qt.Equals, "paid")
+	}
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+	qt.Assert(t, do("POST", nodes[0].url("/post"), "pay", "Idempotency-Key", "k2").body, qt.Equals, "paid")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(2))
+}
+
+// TestKeyOutlivesItsOwner takes each node in turn away after a run: the others must not run the key again.
+func TestKeyOutlivesItsOwner(t *testing.T) {
+	for gone := range 3 {
+		nodes, u, view := keyedMesh(t, answering("paid"))
+		for i := range 10 {
+			key := fmt.Sprintf("k%d", i)
+			qt.Assert(t, do("POST", nodes[0].url("/post"), "pay", "Idempotency-Key", key).body, qt.Equals, "paid")
+		}
+		rest := viewConfig{local: view.local}
+		for i, e := range view.endpoints {
+			if i != gone {
+				rest.endpoints = append(rest.endpoints, e)
+			}
+		}
+		for i, n := range nodes {
+			if i != gone {
+				n.publish(rest)
+			}
+		}
+		for i := range 10 {
+			r := do("POST", nodes[(gone+1)%3].url("/post"), "pay", "Idempotency-Key", fmt.Sprintf("k%d", i))
+			if r.body != "paid" {
+				qt.Assert(t, r.run, qt.Equals, "unknown")
+			}
+		}
+		qt.Assert(t, u.runs.Load(), qt.Equals, int64(10))
+	}
+}
+
+// TestRolloutShare counts how calls are spread over the versions.
+func TestRolloutShare(t *testing.T) {
+	entry := newNode(t, "entry")
+	var served [2]*upstreamServer
+	var endpoints []*balancer.Endpoint
+	var besides []*testNode
+	for i, version := range []string{"v1", "v2"} {
+		served[i] = newUpstream(t, answering(version))
+		n := newNode(t, "beside-"+version)
+		besides = append(besides, n)
+		endpoints = append(endpoints, n.endpoint(version))
+	}
+	for i, n := range besides {
+		n.publish(viewConfig{endpoints: endpoints, local: served[i].local(endpoints[i].Version)})
+	}
+	for _, test := range []struct {
+		share float64
+		want  int64
+	}{{0, 0}, {0.1, 10}, {0.5, 50}, {1, 100}} {
+		entry.publish(viewConfig{endpoints: endpoints, rollout: &router.Rollout{Name: fmt.Sprint(test.share), From: "v1", To: "v2", Share: test.share}})
+		before := served[1].runs.Load()
+		for range 100 {
+			qt.Assert(t, do("GET", entry.url("/get"), "").err, qt.IsNil)
+		}
+		got := served[1].runs.Load() - before
+		qt.Assert(t, got >= test.want-1 && got <= test.want+1, qt.IsTrue, qt.Commentf("share %v gave %d of 100", test.share, got))
+	}
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -54,6 +54,7 @@
 	DrainTimeout    time.Duration `help:"Longest graceful shutdown." default:"60s"`
 
 	// Runtime.
+	Threads       int `help:"Threads that run Go code at one time. More of them add latency, since idle ones search for work." default:"2"`
 	MemoryLimitMB int `help:"Soft limit of the Go heap, MB." default:"200" name:"memory-limit-mb"`
 }
 
@@ -105,7 +106,8 @@
 		return settingError("suspect-after", n.SuspectAfter.String(), "at least two heartbeats")
 	}
 	numbers := map[string]int{"readers": n.Readers, "checkpoint-every": n.CheckpointEvery,
-		"max-in-flight": n.MaxInFlight, "memory-limit-mb": n.MemoryLimitMB}
+		"max-in-flight": n.MaxInFlight, "memory-limit-mb": n.MemoryLimitMB,
+		"threads": n.Threads}
 	for key, value := range numbers {
 		if value < 1 {
 			return settingError(key, fmt.Sprint(value), "a number of at least 1")
--- a/internal/standin/harness/process.go
+++ b/internal/standin/harness/process.go
@@ -38,7 +38,6 @@
 	p.command.Stderr = output
 	// A test run that dies must not leave its processes behind.
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	p.command.Env = append(os.Environ(), "GOMAXPROCS=2")
 	if err := p.command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
--- /dev/null
+++ b/internal/standin/latency/latency.go
@@ -0,0 +1,121 @@
+// Package latency measures what the mesh adds to a call, paired with direct calls in the same run.
+package latency
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/caller"
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/harness"
+	"github.com/tamarackpitch/tamarackpitch/pkg/decoder"
+)
+
+const (
+	path        = "/status/1?size=1024"
+	bodyBytes   = 1024
+	callTimeout = 5 * time.Second
+	setUpTime   = 10 * time.Second
+	warmUp      = time.Second
+)
+
+// Config builds one measurement.
+type Config struct {
+	Product  string
+	Standin  string
+	Examples string
+	Output   io.Writer
+	// Rates are the calls a second that enter at one node; as many go directly to the upstreams.
+	Rates    []float64
+	Duration time.Duration
+}
+
+// Run measures at each rate.
+func Run(c Config) error {
+	dir, err := os.MkdirTemp("", "tamarackpitch-latency")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	fast := []string{"--latency=0s", "--slots=64", "--connections=256"}
+	specs := []harness.Spec{
+		{Name: "entry", Zone: "a", Region: "r", Service: "dispatch", Version: "v1", UpstreamFlags: fast},
+		{Name: "status-1", Zone: "a", Region: "r", Service: "status-desk", Version: "v1", UpstreamFlags: fast},
+		{Name: "status-2", Zone: "a", Region: "r", Service: "status-desk", Version: "v1", UpstreamFlags: fast},
+	}
+	m, err := harness.Start(harness.Config{Dir: dir, Product: c.Product, Standin: c.Standin, Specs: specs})
+	if m != nil {
+		defer m.Stop()
+	}
+	if err != nil {
+		return err
+	}
+	if err := publish(m, c.Examples); err != nil {
+		return err
+	}
+	for _, rate := range c.Rates {
+		measure(c, m, rate)
+	}
+	return nil
+}
+
+func publish(m *harness.Mesh, examples string) error {
+	declarations, err := decoder.Decoder{Now: time.Now()}.DecodePaths([]string{filepath.Join(examples, "cooperative")})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), setUpTime)
+	defer cancel()
+	accepted, err := m.Operator.Publish(ctx, declarations)
+	if err != nil {
+		return err
+	}
+	_, _, err = m.Operator.Wait(ctx, accepted.Version)
+	return err
+}
+
+// side is one of the two loads of a pair.
+type side struct {
+	load  *caller.Caller
+	ctx   context.Context
+	group *sync.WaitGroup
+}
+
+func (s *side) run() {
+	defer s.group.Done()
+	s.load.Run(s.ctx)
+}
+
+func load(entries []string, rate float64, seed uint64) *caller.Caller {
+	return caller.New(caller.Config{Entries: entries, Rate: rate, Timeout: callTimeout, Seed: seed, Prefix: fmt.Sprint(seed),
+		Targets: []caller.Target{{Method: "GET", Path: path, Size: bodyBytes, Weight: 1}}})
+}
+
+func pair(m *harness.Mesh, rate float64, duration time.Duration) (mesh, direct *caller.Caller) {
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	mesh = load([]string{m.Find("entry").Listen}, rate, 1)
+	direct = load([]string{m.Find("status-1").Address, m.Find("status-2").Address}, rate, 2)
+	var group sync.WaitGroup
+	for _, l := range []*caller.Caller{mesh, direct} {
+		group.Add(1)
+		go (&side{load: l, ctx: ctx, group: &group}).run()
+	}
+	group.Wait()
+	return mesh, direct
+}
+
+func measure(c Config, m *harness.Mesh, rate float64) {
+	pair(m, rate, warmUp)
+	mesh, direct := pair(m, rate, c.Duration)
+	_, _ = fmt.Fprintf(c.Output, "bench=latency rate=%g calls=%d ok=%d direct-ok=%d", rate, len(mesh.Records()), mesh.Count(caller.OK), direct.Count(caller.OK))
+	for _, q := range []float64{50, 90, 99, 99.9} {
+		added := mesh.Quantile(q) - direct.Quantile(q)
+		_, _ = fmt.Fprintf(c.Output, " p%g=%s direct-p%g=%s added-p%g=%s", q, mesh.Quantile(q), q, direct.Quantile(q), q, added)
+	}
+	_, _ = fmt.Fprintln(c.Output)
+}
--- a/internal/standin/standinapp/bench.go
+++ b/internal/standin/standinapp/bench.go
@@ -9,6 +9,7 @@
 
 type benchCommand struct {
 	Rollouts benchRollouts `cmd:"" help:"Rollout decisions in virtual time, against a fixed threshold."`
+	Latency  benchLatency  `cmd:"" help:"Latency that the mesh adds to a call, paired with direct calls."`
 }
 
 type benchRollouts struct {
