Bound the links of a node and the bytes of the overlay

Ruled out: the heartbeats' own size (54 of about 390 bytes per link, direction and second). What remained were the pings and window updates of grpc-go's dynamic flow control, and nodes with many incoming links.

Change: fixed flow-control windows; at most 8 links a node, refused nodes choose others. A first try let a refused node dial all 8 peers named in the refusal: with 100 nodes every refusal made 8 more and the mesh was not ready after 30 s; one peer is dialled now.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -62,7 +62,9 @@
 	table   *registrar.Table
 	links   map[*gossiper.Link]*linkState
 	dialing map[string]time.Time
-	lease   lease
+	// avoid holds the nodes that refused a link, with the time until which they are not asked.
+	avoid map[string]time.Time
+	lease lease
 	// progress holds the merged progress of open rollouts by name.
 	progress map[string]*schema.Progress
 	trials   map[string]*trialState
@@ -97,6 +99,7 @@
 		table:         registrar.New(registrar.Config{Self: c.Self, DeadAfter: c.Common.Settings.DeadAfter}, now),
 		links:         map[*gossiper.Link]*linkState{},
 		dialing:       map[string]time.Time{},
+		avoid:         map[string]time.Time{},
 		progress:      map[string]*schema.Progress{},
 		trials:        map[string]*trialState{},
 		crashes:       map[uint64]*crashRecord{},
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// maxLinks bounds the links of a node, incoming ones included.
-	maxLinks = 24
+	// maxLinks bounds the links of a node, incoming ones included. Nodes that are refused choose others.
+	maxLinks = 8
+	// avoidTime is how long a node that refused a link is not asked again.
+	avoidTime = time.Minute
 	// redialAfter is the least time between two dials of one address.
 	redialAfter = time.Second
 	// mismatchesToCompare is how many heartbeats in a row must differ before the tables are compared.
@@ -52,7 +54,9 @@
 
 func (k *Controller) openLink(l *gossiper.Link, now time.Time) {
 	node := l.Hello.Member.Node
-	if node == k.table.Self().Node || len(k.links) >= maxLinks {
+	if node == k.table.Self().Node || !l.Outgoing && len(k.links) >= maxLinks {
+		k.start.hear(node, l.Hello.Position)
+		k.mergeMembers(nil, []*schema.Member{l.Hello.Member}, now)
 		k.refuseLink(l)
 		return
 	}
@@ -192,11 +196,15 @@
 		k.mergeCrashes(f.CrashMarks, l, now)
 	}
 	if f.Busy != nil {
-		k.dialAll(f.Busy.ControlAddresses, now)
+		k.dialOneOf(f.Busy.ControlAddresses, now)
 	}
 	if f.Parting != nil {
 		s.parted = true
-		k.dialAll(f.Parting.ControlAddresses, now)
+		if len(f.Parting.ControlAddresses) > 0 {
+			k.avoid[s.node] = now.Add(avoidTime)
+		}
+		delete(k.links, l)
+		k.dialOneOf(f.Parting.ControlAddresses, now)
 	}
 }
 
@@ -288,7 +296,7 @@
 	self := k.table.Self()
 	others := make([]*schema.Member, 0, k.table.Len())
 	for _, m := range k.table.Usable() {
-		if m.Node != self.Node {
+		if m.Node != self.Node && !now.Before(k.avoid[m.Node]) {
 			others = append(others, m)
 		}
 	}
@@ -341,9 +349,12 @@
 	return chosen
 }
 
-func (k *Controller) dialAll(addresses []string, now time.Time) {
-	for _, a := range addresses {
-		k.dial(a, now)
+// dialOneOf joins one of the peers named in a refusal. One is enough, and asking all of them
+// would make a storm of refusals out of each.
+func (k *Controller) dialOneOf(addresses []string, now time.Time) {
+	const enoughLinks = 3
+	if len(addresses) > 0 && len(k.links) < enoughLinks {
+		k.dial(addresses[k.random.IntN(len(addresses))], now)
 	}
 }
 
--- a/internal/forwarder/answer_test.go
+++ b/internal/forwarder/answer_test.go
@@ -58,6 +58,7 @@
 			request.Header.Set("X-Length", fmt.Sprint(size))
 			response, err := http.DefaultClient.Do(request)
 			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = response.Body.Close() }()
 			hash := sha256.New()
 			n, err := io.Copy(hash, response.Body)
 			qt.Assert(t, err, qt.IsNil)
@@ -75,6 +76,7 @@
 	})
 	response, err := http.Get(entry.url("/get"))
 	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
 	total := 0
 	buffer := make([]byte, 256<<10)
 	for {
@@ -125,6 +127,7 @@
 		response, err := http.ReadResponse(reader, nil)
 		qt.Assert(t, err, qt.IsNil)
 		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, string(body), qt.Equals, fmt.Sprintf("/get/%d", i))
 	}
@@ -207,6 +210,7 @@
 	time.Sleep(50 * time.Millisecond)
 	close(release)
 	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, string(body), qt.Equals, "first second")
 	qt.Assert(t, <-drained, qt.IsTrue)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -25,7 +25,9 @@
 	reportTimeout   = 500 * time.Millisecond
 	maxMessageBytes = 32 << 20
 	bufferBytes     = 4 << 10
-	eventQueue      = 1024
+	// windowBytes is the fixed flow-control window. A dynamic one sends a ping with every few frames.
+	windowBytes = 1 << 20
+	eventQueue  = 1024
 	// maxReportConns bounds the connections kept for reports.
 	maxReportConns = 64
 )
@@ -62,7 +64,9 @@
 	}
 	g := &Gossiper{config: c, listener: listener, events: make(chan Event, eventQueue), done: make(chan struct{}),
 		meter: &Meter{}, reportConns: map[string]*grpc.ClientConn{}}
-	g.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes))
+	g.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
+		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes))
 	schema.RegisterOverlayServer(g.server, g)
 	go g.run()
 	return g, nil
@@ -224,6 +228,7 @@
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(g.meter.dial),
+		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
 }
--- a/internal/standin/standinapp/bench.go
+++ b/internal/standin/standinapp/bench.go
@@ -8,8 +8,9 @@
 )
 
 type benchCommand struct {
-	Rollouts benchRollouts `cmd:"" help:"Rollout decisions in virtual time, against a fixed threshold."`
-	Latency  benchLatency  `cmd:"" help:"Latency that the mesh adds to a call, paired with direct calls."`
+	Rollouts    benchRollouts    `cmd:"" help:"Rollout decisions in virtual time, against a fixed threshold."`
+	Latency     benchLatency     `cmd:"" help:"Latency that the mesh adds to a call, paired with direct calls."`
+	Convergence benchConvergence `cmd:"" help:"Time from accepted to in force, and what control costs a node."`
 }
 
 type benchRollouts struct {
