--- a/internal/app/commands.go
+++ b/internal/app/commands.go
@@ -77,20 +77,7 @@
 		return err
 	}
 	defer cancel()
-	state, err := o.State(ctx)
-	if err != nil {
-		return err
-	}
-	if c.BasedOn >= 0 {
-		older := *state
-		older.Version = uint64(c.BasedOn)
-		return c.finish(ctx, w, o, &older, declarations)
-	}
-	return c.finish(ctx, w, o, state, declarations)
-}
-
-func (c *Publish) finish(ctx context.Context, w io.Writer, o *operator.Operator, state *reducer.State, declarations []*schema.Declaration) error {
-	accepted, err := o.PublishOn(ctx, state, declarations)
+	accepted, err := c.publish(ctx, o, declarations)
 	if err != nil {
 		return err
 	}
@@ -106,6 +93,13 @@
 	return nil
 }
 
+func (c *Publish) publish(ctx context.Context, o *operator.Operator, declarations []*schema.Declaration) (operator.Accepted, error) {
+	if c.BasedOn < 0 {
+		return o.Publish(ctx, declarations)
+	}
+	return o.PublishOn(ctx, uint64(c.BasedOn), declarations)
+}
+
 // Status is the status command.
 type Status struct {
 	mesh
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,6 +75,7 @@
 	leaving  bool
 
 	nextHeartbeat  time.Time
+	nextRevival    time.Time
 	snapshotLimit  *rate.Limiter
 	lastCheckpoint uint64
 
@@ -197,6 +198,7 @@
 		k.nextHeartbeat = now.Add(k.common.Settings.Heartbeat)
 		k.sendHeartbeats()
 		k.chooseNeighbours(now)
+		k.revive(now)
 	}
 	k.assignDuties()
 	k.decideRollouts(now)
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -9,8 +10,13 @@
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
-// joinRecordInterval is how often a log reader tells new nodes where to join.
-const joinRecordInterval = 30 * time.Second
+const (
+	// joinRecordInterval is how often a log reader tells other nodes where to join, and looks
+	// for parts of the mesh that this one has lost or never met.
+	joinRecordInterval = 5 * time.Second
+	// reviveInterval is how often a node tries to reach a member that is held dead.
+	reviveInterval = 10 * time.Second
+)
 
 // assignDuties takes up or lays down the duties that fall to this node by rendezvous hashing.
 // A duty held by two nodes at once, while their tables differ, is harmless.
@@ -42,6 +48,42 @@
 	k.start.nextJoinRecord = now.Add(joinRecordInterval)
 	address := k.table.Self().ControlAddress
 	k.appender.queue(appendJob{stream: logclient.JoinStream, body: []byte(address), what: "join"})
+	go (&rejoiner{controller: k}).run()
+}
+
+// revive dials a member that is held dead, in case only the way to it was lost.
+func (k *Controller) revive(now time.Time) {
+	if now.Before(k.nextRevival) {
+		return
+	}
+	k.nextRevival = now.Add(reviveInterval)
+	if dead := k.table.Dead(); len(dead) > 0 {
+		k.dial(dead[k.random.IntN(len(dead))].ControlAddress, now)
+	}
+}
+
+// rejoiner looks in the log for nodes that this one does not know, so that parts of the mesh that
+// were separated, or never met, find each other.
+type rejoiner struct {
+	controller *Controller
+}
+
+// run looks once.
+func (r *rejoiner) run() {
+	k := r.controller
+	j := &joiner{controller: k}
+	addresses := j.readJoinRecords(context.Background())
+	k.do(func() {
+		known := map[string]bool{}
+		for _, m := range k.table.Usable() {
+			known[m.ControlAddress] = true
+		}
+		for _, a := range addresses {
+			if !known[a] {
+				k.dial(a, time.Now())
+			}
+		}
+	})
 }
 
 // writeCheckpoint appends the whole state once enough records have come since the last one.
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -66,6 +66,10 @@
 	// The new neighbour hears of open rollouts and crashes at once, and of this node itself.
 	f := k.frame()
 	f.Members = []*schema.Member{k.table.Self()}
+	if known := k.table.Get(node); known != nil && !isUsable(known) {
+		// The neighbour hears that it is held dead, and refutes.
+		f.Members = append(f.Members, known)
+	}
 	for _, p := range k.progress {
 		f.Progress = append(f.Progress, p)
 	}
--- a/internal/controller/start.go
+++ b/internal/controller/start.go
@@ -140,7 +140,7 @@
 	}
 	var addresses []string
 	for a := range unique {
-		if len(addresses) < fewPeers {
+		if own := j.controller.common.Settings.ControlListen; a != own && len(addresses) < fewPeers {
 			addresses = append(addresses, a)
 		}
 	}
--- a/internal/operator/publish.go
+++ b/internal/operator/publish.go
@@ -33,13 +33,21 @@
 	if err != nil {
 		return Accepted{}, err
 	}
-	return o.PublishOn(ctx, state, declarations)
+	return o.publish(ctx, state, state.Version, declarations)
 }
 
-// PublishOn is Publish with declarations that were made for a known state.
-func (o *Operator) PublishOn(ctx context.Context, state *reducer.State, declarations []*schema.Declaration) (Accepted, error) {
+// PublishOn is Publish with declarations that were made for a known version.
+func (o *Operator) PublishOn(ctx context.Context, version uint64, declarations []*schema.Declaration) (Accepted, error) {
+	state, err := o.State(ctx)
+	if err != nil {
+		return Accepted{}, err
+	}
+	return o.publish(ctx, state, version, declarations)
+}
+
+func (o *Operator) publish(ctx context.Context, state *reducer.State, basedOn uint64, declarations []*schema.Declaration) (Accepted, error) {
 	return o.commit(ctx, state, &schema.Record{
-		Body: &schema.Record_Publish{Publish: &schema.Publish{BasedOn: state.Version, Declarations: declarations}}})
+		Body: &schema.Record_Publish{Publish: &schema.Publish{BasedOn: basedOn, Declarations: declarations}}})
 }
 
 // Drain asks a node's upstream to take no new work, or ends that.
--- a/internal/registrar/table.go
+++ b/internal/registrar/table.go
@@ -17,8 +17,9 @@
 // Buckets is the number of digests by which two tables find their differences.
 const Buckets = 64
 
-// tombstoneLifetime is how long a dead or departed member is remembered.
-const tombstoneLifetime = 10 * time.Minute
+// tombstoneLifetime is how long a dead or departed member is remembered. It outlasts the
+// separation of regions, after which the dead ones are looked for.
+const tombstoneLifetime = 2 * time.Hour
 
 // MaxMembers bounds the table.
 const MaxMembers = 100_000
@@ -222,5 +223,16 @@
 	return members
 }
 
+// Dead returns the members that are held dead. Members that have left are not among them.
+func (t *Table) Dead() []*schema.Member {
+	var dead []*schema.Member
+	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
+		if m := t.entries[name].member; m.Status == schema.MemberStatus_MEMBER_STATUS_DEAD {
+			dead = append(dead, m)
+		}
+	}
+	return dead
+}
+
 // Len returns the number of remembered members, tombstones included.
 func (t *Table) Len() int { return len(t.entries) }
