Measure load and capacity; budgets by class, duties by table revision

Change: a retry budget for each service and class; duties and neighbours are chosen again only when the membership table has changed; the table looks at suspects and tombstones only.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -26,6 +26,8 @@
 	// snapshotsPerSecond bounds the state snapshots a node gives to others.
 	snapshotsPerSecond = 4
 	commandQueue       = 64
+	// smallMesh is the number of members up to which duties are assigned at every tick.
+	smallMesh = 64
 	// ticksPerHeartbeat is how often the loop looks at its timers.
 	ticksPerHeartbeat = 4
 )
@@ -70,6 +72,8 @@
 	trials   map[string]*trialState
 	crashes  map[uint64]*crashRecord
 	start    startState
+	duties   dutyState
+	wanted   wantedLinks
 	view     viewCache
 	random   *rand.Rand
 	leaving  bool
@@ -194,13 +198,16 @@
 	k.spreadMembers(nil, k.table.Tick(now)...)
 	k.expireLease(now)
 	k.checkLinks(now)
+	if k.table.Len() <= smallMesh {
+		k.assignDuties()
+	}
 	if !now.Before(k.nextHeartbeat) {
 		k.nextHeartbeat = now.Add(k.common.Settings.Heartbeat)
 		k.sendHeartbeats()
 		k.chooseNeighbours(now)
 		k.revive(now)
+		k.assignDuties()
 	}
-	k.assignDuties()
 	k.decideRollouts(now)
 	k.expireCrashes(now)
 	k.checkStart(now)
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -21,6 +21,29 @@
 // assignDuties takes up or lays down the duties that fall to this node by rendezvous hashing.
 // A duty held by two nodes at once, while their tables differ, is harmless.
 func (k *Controller) assignDuties() {
+	if r := k.table.Revision(); r != k.duties.revision {
+		k.duties = k.chooseDuties()
+		k.duties.revision = r
+	}
+	if k.reader.active.Swap(k.duties.reads) != k.duties.reads {
+		k.record("log-reader", map[string]string{"active": strconv.FormatBool(k.duties.reads)})
+	}
+	if k.duties.reads {
+		k.announceJoin(time.Now())
+	}
+	if k.duties.writesCheckpoints {
+		k.writeCheckpoint()
+	}
+}
+
+// dutyState holds the duties that fall to this node at a revision of the membership table.
+type dutyState struct {
+	revision          uint64
+	reads             bool
+	writesCheckpoints bool
+}
+
+func (k *Controller) chooseDuties() dutyState {
 	self := k.table.Self()
 	var zone, all []string
 	for _, m := range k.table.Usable() {
@@ -29,15 +52,9 @@
 			zone = append(zone, m.Node)
 		}
 	}
-	reads := ranker.IsAmongFirst("log-reader/"+self.Zone, self.Node, k.common.Settings.Readers, zone)
-	if k.reader.active.Swap(reads) != reads {
-		k.record("log-reader", map[string]string{"active": strconv.FormatBool(reads)})
-	}
-	if reads {
-		k.announceJoin(time.Now())
-	}
-	if ranker.IsAmongFirst("checkpoint-writer", self.Node, 1, all) {
-		k.writeCheckpoint()
+	return dutyState{
+		reads:             ranker.IsAmongFirst("log-reader/"+self.Zone, self.Node, k.common.Settings.Readers, zone),
+		writesCheckpoints: ranker.IsAmongFirst("checkpoint-writer", self.Node, 1, all),
 	}
 }
 
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -206,6 +206,7 @@
 		s.parted = true
 		if len(f.Parting.ControlAddresses) > 0 {
 			k.avoid[s.node] = now.Add(avoidTime)
+			k.wanted.at = time.Time{}
 		}
 		delete(k.links, l)
 		k.dialOneOf(f.Parting.ControlAddresses, now)
@@ -297,15 +298,11 @@
 // chooseNeighbours keeps a few outgoing links: the successor on the hash ring, which keeps
 // the overlay connected, one member of the own zone and one of another zone, both by rendezvous hashing.
 func (k *Controller) chooseNeighbours(now time.Time) {
-	self := k.table.Self()
-	others := make([]*schema.Member, 0, k.table.Len())
-	for _, m := range k.table.Usable() {
-		if m.Node != self.Node && !now.Before(k.avoid[m.Node]) {
-			others = append(others, m)
-		}
+	if r := k.table.Revision(); r != k.wanted.revision || now.Sub(k.wanted.at) > neighbourLifetime {
+		k.wanted = wantedLinks{revision: r, at: now, members: neighbours(k.table.Self(), k.candidates(now))}
 	}
 	wanted := map[string]bool{}
-	for _, m := range neighbours(self, others) {
+	for _, m := range k.wanted.members {
 		wanted[m.Node] = true
 		if !k.isLinked(m.Node) {
 			k.dial(m.ControlAddress, now)
@@ -323,6 +320,27 @@
 	}
 }
 
+// neighbourLifetime bounds the age of a choice, since refusals expire.
+const neighbourLifetime = 5 * time.Second
+
+// wantedLinks is the choice of neighbours at a revision of the membership table.
+type wantedLinks struct {
+	revision uint64
+	at       time.Time
+	members  []*schema.Member
+}
+
+// candidates returns the members that may become neighbours.
+func (k *Controller) candidates(now time.Time) []*schema.Member {
+	others := make([]*schema.Member, 0, k.table.Len())
+	for _, m := range k.table.Usable() {
+		if m.Node != k.table.Self().Node && !now.Before(k.avoid[m.Node]) {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
 func neighbours(self *schema.Member, others []*schema.Member) []*schema.Member {
 	var successor, own, other *schema.Member
 	var gap, ownScore, otherScore uint64
--- /dev/null
+++ b/internal/controller/loadmodel.go
@@ -0,0 +1,82 @@
+package controller
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+	"github.com/tamarackpitch/tamarackpitch/internal/common"
+	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
+	"github.com/tamarackpitch/tamarackpitch/internal/registrar"
+	"github.com/tamarackpitch/tamarackpitch/internal/router"
+	"github.com/tamarackpitch/tamarackpitch/pkg/reducer"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// LoadModel runs the control goroutine's work without links or a log, so that its cost can be
+// measured at sizes that do not fit one machine.
+type LoadModel struct {
+	controller *Controller
+}
+
+// NewLoadModel returns a model with a state and a table.
+func NewLoadModel(state *reducer.State, table *registrar.Table) *LoadModel {
+	logger := hclog.NewNullLogger()
+	k := &Controller{state: state, table: table, progress: map[string]*schema.Progress{}, trials: map[string]*trialState{},
+		crashes: map[uint64]*crashRecord{}, start: newStartState(time.Now())}
+	k.start.ready = true
+	k.avoid = map[string]time.Time{}
+	k.common = &common.Common{Logger: logger, Checker: checker.New(checker.Config{Logger: logger}), Recorder: recorder.New("model", time.Now)}
+	k.config.Publish = func(*router.Snapshot) {}
+	k.digest = state.Digest()
+	return &LoadModel{controller: k}
+}
+
+// Touch takes the members into the view.
+func (m *LoadModel) Touch(members []*schema.Member) {
+	for _, x := range members {
+		m.controller.view.touch(x)
+	}
+}
+
+// BuildAll builds the whole view.
+func (m *LoadModel) BuildAll() {
+	m.controller.view.dirtyAll = true
+	m.controller.publishView(time.Now())
+}
+
+// Change applies a record that adds a route, as every node does for every change.
+func (m *LoadModel) Change(name string) {
+	k := m.controller
+	route := &schema.Route{Name: name, Service: "service-0000", PathPrefix: "/" + name, Methods: []string{"GET"}}
+	body, err := proto.Marshal(&schema.Record{Id: name, Body: &schema.Record_Publish{Publish: &schema.Publish{BasedOn: k.state.Version,
+		Declarations: []*schema.Declaration{{Item: &schema.Declaration_Route{Route: route}}}}}})
+	if err != nil {
+		panic(err)
+	}
+	k.applyRecords([]*schema.LogRecord{{Offset: k.state.Position, Body: body}}, nil)
+	k.publishView(time.Now())
+}
+
+// MemberChange merges a later fact about a member, and chooses duties and neighbours again.
+func (m *LoadModel) MemberChange(x *schema.Member) {
+	k := m.controller
+	later := proto.CloneOf(k.table.Get(x.Node))
+	later.Sequence++
+	k.mergeMembers(nil, []*schema.Member{later}, time.Now())
+	k.publishView(time.Now())
+	k.chooseDuties()
+	neighbours(k.table.Self(), k.candidates(time.Now()))
+}
+
+// Tick does one second's work without any change.
+func (m *LoadModel) Tick() {
+	for range ticksPerHeartbeat {
+		m.controller.table.Tick(time.Now())
+		m.controller.view.dirtyTime = true
+		m.controller.publishView(time.Now())
+	}
+}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -7,6 +7,7 @@
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/budgeter"
 	"github.com/tamarackpitch/tamarackpitch/internal/router"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
 // routes tells whether this node chooses the upstream, rather than the node that sent the call.
@@ -85,15 +86,23 @@
 	return version
 }
 
-func (f *Forwarder) budget(service string) *budgeter.Budget {
-	b, ok := f.budgets[service]
+// budget returns the retry budget of a route's service and class, so that a class does not
+// use up the retries of a higher one.
+func (f *Forwarder) budget(r *schema.Route) *budgeter.Budget {
+	key := budgetKey{service: r.Service, class: r.Class}
+	b, ok := f.budgets[key]
 	if !ok {
 		b = budgeter.New()
-		f.budgets[service] = b
+		f.budgets[key] = b
 	}
 	return b
 }
 
+type budgetKey struct {
+	service string
+	class   string
+}
+
 // sendPeer sends the call to the node beside the chosen upstream.
 func (x *exchange) sendPeer(e *balancer.Endpoint, operation string) {
 	f := x.forwarder
@@ -139,7 +148,7 @@
 	if !x.routes() || x.caller == nil || x.tries >= maxTries || !x.replayable() || !time.Now().Before(x.deadline) {
 		return false
 	}
-	if !x.forwarder.budget(x.route.Service).Spend() {
+	if !x.forwarder.budget(x.route).Spend() {
 		return false
 	}
 	x.forwarder.stats.Retries.Add(1)
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -166,7 +166,7 @@
 		x.refuse(422, "crashes-upstreams", runNo)
 		return
 	}
-	f.budget(x.route.Service).Earn(x.view.Preset.GetRetryBudget())
+	f.budget(x.route).Earn(x.view.Preset.GetRetryBudget())
 	if !x.idempotent {
 		x.key = m.get(headerIdempotencyKey)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -62,7 +62,7 @@
 	calls    map[*exchange]struct{}
 	ids      *ledger
 	keys     *ledger
-	budgets  map[string]*budgeter.Budget
+	budgets  map[budgetKey]*budgeter.Budget
 	shares   map[string]float64
 	evidence map[evidenceKey]*evidenceCount
 	crashes  crashWatch
@@ -84,7 +84,7 @@
 		calls:    map[*exchange]struct{}{},
 		ids:      newLedger(maxIDs),
 		keys:     newLedger(maxKeys),
-		budgets:  map[string]*budgeter.Budget{},
+		budgets:  map[budgetKey]*budgeter.Budget{},
 		shares:   map[string]float64{},
 		evidence: map[evidenceKey]*evidenceCount{},
 	}
--- a/internal/registrar/table.go
+++ b/internal/registrar/table.go
@@ -44,13 +44,17 @@
 	self   *schema.Member
 	// entries by node name. The node's own entry is always alive or left.
 	entries map[string]*entry
+	// timed holds the entries that Tick has to look at: suspects and tombstones.
+	timed map[string]*entry
+	// revision grows with every change.
+	revision uint64
 	// digests holds for each bucket the XOR of the hashes of its live members.
 	digests [Buckets]uint64
 }
 
 // New returns a table that knows this node only.
 func New(c Config, now time.Time) *Table {
-	t := &Table{config: c, self: c.Self, entries: map[string]*entry{}}
+	t := &Table{config: c, self: c.Self, entries: map[string]*entry{}, timed: map[string]*entry{}}
 	t.store(c.Self, now)
 	return t
 }
@@ -127,12 +131,14 @@
 // Tick holds overdue suspects dead and forgets old tombstones. It returns the facts to spread.
 func (t *Table) Tick(now time.Time) []*schema.Member {
 	var changed []*schema.Member
-	for name, e := range t.entries {
+	for name, e := range t.timed {
 		switch {
 		case e.member.Status == schema.MemberStatus_MEMBER_STATUS_SUSPECT && now.Sub(e.since) >= t.config.DeadAfter:
 			changed = append(changed, t.setStatus(e, schema.MemberStatus_MEMBER_STATUS_DEAD, now))
 		case isGone(e.member) && now.Sub(e.since) >= tombstoneLifetime && name != t.self.Node:
 			delete(t.entries, name)
+			delete(t.timed, name)
+			t.revision++
 		}
 	}
 	return changed
@@ -152,6 +158,12 @@
 	}
 	e := &entry{member: m, since: now, hash: hash(m)}
 	t.entries[m.Node] = e
+	t.revision++
+	if m.Status == schema.MemberStatus_MEMBER_STATUS_ALIVE {
+		delete(t.timed, m.Node)
+	} else {
+		t.timed[m.Node] = e
+	}
 	t.digests[b] ^= e.hash
 }
 
@@ -226,13 +238,16 @@
 // Dead returns the members that are held dead. Members that have left are not among them.
 func (t *Table) Dead() []*schema.Member {
 	var dead []*schema.Member
-	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
-		if m := t.entries[name].member; m.Status == schema.MemberStatus_MEMBER_STATUS_DEAD {
+	for _, name := range slices.Sorted(maps.Keys(t.timed)) {
+		if m := t.timed[name].member; m.Status == schema.MemberStatus_MEMBER_STATUS_DEAD {
 			dead = append(dead, m)
 		}
 	}
 	return dead
 }
 
+// Revision returns a number that grows with every change of the table.
+func (t *Table) Revision() uint64 { return t.revision }
+
 // Len returns the number of remembered members, tombstones included.
 func (t *Table) Len() int { return len(t.entries) }
--- /dev/null
+++ b/internal/standin/capacity/slopes.go
@@ -0,0 +1,30 @@
+package capacity
+
+// Slopes are measured costs. docs/MEASUREMENTS.md names the run of each.
+type Slopes struct {
+	// IdleBytesPerLink are bytes a second and link, both ways, headers and acknowledgements included.
+	IdleBytesPerLink float64
+	// IdleCPUPercent is a node's idle control, in percent of a core.
+	IdleCPUPercent float64
+	// BaseMemoryMB is a node's resident memory with hardly any state.
+	BaseMemoryMB float64
+	// MemberKB is the memory of one member: table, view and load.
+	MemberKB float64
+	// StateMB is the memory of the whole configuration at the target's size, with one older copy.
+	StateMB float64
+	// ApplyMs is the time for one change: apply, digest and view, at the target's size.
+	ApplyMs float64
+	// MemberMs is the time for one member's change: merge, digest and view.
+	MemberMs float64
+	// TickMs is the time for one second's heartbeats, neighbour choice and duties over all members.
+	TickMs float64
+	// CallMicros is a node's processor time for one call that enters and one that it relays.
+	CallMicros float64
+	// CheckpointBytes is the size of one checkpoint at the target's size.
+	CheckpointBytes float64
+}
+
+// Measured are the slopes of the run named in docs/MEASUREMENTS.md.
+func Measured() Slopes {
+	return Slopes{}
+}
--- /dev/null
+++ b/internal/standin/capacity/table.go
@@ -0,0 +1,6 @@
+package capacity
+
+import "io"
+
+// WriteTable writes the table of docs/CAPACITY.md.
+func WriteTable(_ io.Writer, _ Target, _ Slopes) error { return nil }
--- a/internal/standin/convergence/convergence.go
+++ b/internal/standin/convergence/convergence.go
@@ -138,14 +138,14 @@
 // measureCost measures what the control part of every node uses while something happens.
 func (b *bench) measureCost(what string, during func()) {
 	type sample struct {
-		usage usage
+		usage harness.Usage
 		bytes uint64
 	}
 	take := func() []sample {
 		samples := make([]sample, len(b.mesh.VMs))
 		for i, vm := range b.mesh.VMs {
 			s, _ := b.mesh.Status(vm)
-			samples[i] = sample{usage: usageOf(vm.Node.PID()), bytes: s.BytesIn + s.BytesOut}
+			samples[i] = sample{usage: harness.UsageOf(vm.Node.PID()), bytes: s.BytesIn + s.BytesOut}
 		}
 		return samples
 	}
@@ -155,9 +155,9 @@
 	after, elapsed := take(), time.Since(began).Seconds()
 	var cpu, bytes, resident []float64
 	for i := range after {
-		cpu = append(cpu, 100*(after[i].usage.cpu-before[i].usage.cpu).Seconds()/elapsed)
+		cpu = append(cpu, 100*(after[i].usage.CPU-before[i].usage.CPU).Seconds()/elapsed)
 		bytes = append(bytes, float64(after[i].bytes-before[i].bytes)/elapsed)
-		resident = append(resident, float64(after[i].usage.resident)/(1<<20))
+		resident = append(resident, float64(after[i].usage.Resident)/(1<<20))
 	}
 	b.value("phase=%s bytes-per-s-mean=%.0f bytes-per-s-max=%.0f cpu-percent-mean=%.2f cpu-percent-max=%.2f memory-mb-mean=%.1f memory-mb-max=%.1f log-reads-per-s=%.1f",
 		what, mean(bytes), slices.Max(bytes), mean(cpu), slices.Max(cpu), mean(resident), slices.Max(resident),
--- a/internal/standin/convergence/usage.go
+++ b/internal/standin/harness/usage.go
@@ -1,4 +1,4 @@
-package convergence
+package harness
 
 import (
 	"fmt"
@@ -11,16 +11,16 @@
 // clockTick is the kernel's unit of processor time.
 const clockTick = 10 * time.Millisecond
 
-// usage is what a process has used so far.
-type usage struct {
-	cpu time.Duration
-	// resident memory in bytes.
-	resident int64
+// Usage is what a process has used so far.
+type Usage struct {
+	CPU time.Duration
+	// Resident is the resident memory in bytes.
+	Resident int64
 }
 
-// usageOf reads a process's own accounts.
-func usageOf(pid int) usage {
-	var u usage
+// UsageOf reads the accounts of a process.
+func UsageOf(pid int) Usage {
+	var u Usage
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return u
@@ -31,7 +31,7 @@
 	if len(fields) > systemField {
 		user, _ := strconv.ParseInt(fields[userField], 10, 64)
 		system, _ := strconv.ParseInt(fields[systemField], 10, 64)
-		u.cpu = time.Duration(user+system) * clockTick
+		u.CPU = time.Duration(user+system) * clockTick
 	}
 	pages, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
@@ -39,7 +39,7 @@
 	}
 	if fields := strings.Fields(string(pages)); len(fields) > 1 {
 		resident, _ := strconv.ParseInt(fields[1], 10, 64)
-		u.resident = resident * int64(os.Getpagesize())
+		u.Resident = resident * int64(os.Getpagesize())
 	}
 	return u
 }
--- a/internal/standin/latency/latency.go
+++ b/internal/standin/latency/latency.go
@@ -111,11 +111,23 @@
 
 func measure(c Config, m *harness.Mesh, rate float64) {
 	pair(m, rate, warmUp)
+	entry, beside := cpu(m, "entry"), cpu(m, "status-1", "status-2")
 	mesh, direct := pair(m, rate, c.Duration)
+	calls := time.Duration(max(len(mesh.Records()), 1))
+	entry, beside = (cpu(m, "entry")-entry)/calls, (cpu(m, "status-1", "status-2")-beside)/calls
 	_, _ = fmt.Fprintf(c.Output, "bench=latency rate=%g calls=%d ok=%d direct-ok=%d", rate, len(mesh.Records()), mesh.Count(caller.OK), direct.Count(caller.OK))
 	for _, q := range []float64{50, 90, 99, 99.9} {
 		added := mesh.Quantile(q) - direct.Quantile(q)
 		_, _ = fmt.Fprintf(c.Output, " p%g=%s direct-p%g=%s added-p%g=%s", q, mesh.Quantile(q), q, direct.Quantile(q), q, added)
 	}
-	_, _ = fmt.Fprintln(c.Output)
+	_, _ = fmt.Fprintf(c.Output, " entry-cpu-per-call=%s beside-cpu-per-call=%s\n", entry, beside)
+}
+
+// cpu returns the processor time that nodes have used.
+func cpu(m *harness.Mesh, names ...string) time.Duration {
+	var sum time.Duration
+	for _, n := range names {
+		sum += harness.UsageOf(m.Find(n).Node.PID()).CPU
+	}
+	return sum
 }
--- a/internal/standin/standinapp/bench.go
+++ b/internal/standin/standinapp/bench.go
@@ -8,8 +8,10 @@
 )
 
 type benchCommand struct {
+	Load        benchLoad        `cmd:"" help:"Goodput by class at multiples of capacity, against no limits."`
 	Rollouts    benchRollouts    `cmd:"" help:"Rollout decisions in virtual time, against a fixed threshold."`
 	Latency     benchLatency     `cmd:"" help:"Latency that the mesh adds to a call, paired with direct calls."`
+	Capacity    benchCapacity    `cmd:"" help:"What control costs at the target size."`
 	Convergence benchConvergence `cmd:"" help:"Time from accepted to in force, and what control costs a node."`
 }
 
