Let upstream connections rest, and take a call back once

(2) One of two runs of TestSecondAnswerIsDropped got the second answer of an upstream that answers twice as the answer to the next call: it came after the connection had been used again.

Ruled out for (2): the reader (a second answer in the same read ends the connection).

Change: an attempt is taken back once; a connection to an upstream rests 10 ms after an answer and is looked at for unasked input before it is used again.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -45,6 +45,8 @@
 	began time.Time
 	// sent tells that a byte of the request may have left this node.
 	sent bool
+	// takenBack tells that the request is known not to have run.
+	takenBack bool
 	// requestSent tells that the whole request has been written.
 	requestSent bool
 	headSeen    bool
@@ -110,8 +112,13 @@
 	x.forwarder.common.Checker.Assert(x.idempotent || x.runs == 1, checker.AtMostOnce, "call %x sent %d times", x.id, x.runs)
 }
 
-// unsend takes markSent back, once it is known that the request did not run.
+// unsend takes markSent back, once it is known that the request did not run. A refusal and the
+// answer to a claim may both say so.
 func (a *attempt) unsend() {
+	if a.takenBack {
+		return
+	}
+	a.takenBack = true
 	x := a.exchange
 	x.runs--
 	x.forwarder.common.Checker.Assert(x.runs >= 0, checker.AtMostOnce, "call %x taken back more often than sent", x.id)
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -201,6 +201,23 @@
 	return finished
 }
 
+// hasInput tells whether the kernel holds bytes, or the peer's end, that have not been read.
+func (n *conn) hasInput() bool {
+	if n.closed {
+		return true
+	}
+	raw, err := n.c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var peeked error
+	_ = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, peeked = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return !errors.Is(peeked, unix.EAGAIN)
+}
+
 // connectError returns the error of a dial that the engine reports as connected.
 func connectError(c *nbio.Conn) error {
 	raw, err := c.SyscallConn()
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -8,6 +8,10 @@
 	"github.com/tamarackpitch/tamarackpitch/internal/router"
 )
 
+// upstreamRest is how long a connection to the upstream rests after an answer. HTTP/1.1 answers carry no
+// name of their request: a second answer that comes after the connection has been used again can't be told apart.
+const upstreamRest = 10 * time.Millisecond
+
 // localState is the upstream beside this node.
 type localState struct {
 	// upstream is nil while none is announced.
@@ -73,7 +77,9 @@
 	f.common.Checker.Assert(!l.Draining, checker.NoWorkToLeaving, "call %x sent to a draining upstream", x.id)
 	a := &attempt{exchange: x, kind: kindCall, fresh: x.freshConn}
 	x.attempt = a
-	f.pool(l.Address, l.Connections).serve(a)
+	p := f.pool(l.Address, l.Connections)
+	p.rest = upstreamRest
+	p.serve(a)
 	if x.attempt == a {
 		x.arm(time.Now())
 	}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -19,6 +19,8 @@
 	address   string
 	// limit bounds the connections, those being dialled included.
 	limit int
+	// rest is the time a connection stays unused after an answer, in case a second one follows.
+	rest time.Duration
 	// idle connections, the most recently used last.
 	idle  []*clientConn
 	total int
@@ -41,14 +43,10 @@
 // serve gives the attempt a connection: an idle one, a new one, or the first to become free.
 func (p *pool) serve(a *attempt) {
 	a.pool = p
-	for len(p.idle) > 0 && !a.fresh {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if !c.conn.closed {
-			c.reused = true
-			a.connected(c)
-			return
-		}
+	if c := p.takeIdle(a.fresh); c != nil {
+		c.reused = true
+		a.connected(c)
+		return
 	}
 	if p.total < p.limit || a.fresh {
 		p.dial(a)
@@ -57,6 +55,30 @@
 	p.waiting = append(p.waiting, a)
 }
 
+// takeIdle returns the connection that has been idle for the shortest time beyond its rest, or nil.
+// A connection on which something has come unasked is dropped.
+func (p *pool) takeIdle(fresh bool) *clientConn {
+	if fresh {
+		return nil
+	}
+	now := time.Now()
+	full := p.total >= p.limit
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if now.Sub(c.idleSince) < p.rest && !(full && i == 0) {
+			continue
+		}
+		if c.conn.hasInput() {
+			c.conn.closeWith(&Error{Operation: "reuse", Kind: KindMalformed, Detail: "answer without a request"})
+			i = min(i, len(p.idle))
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		return c
+	}
+	return nil
+}
+
 // dialing is one connection attempt. The engine does not always report a failed dial, hence the timer.
 type dialing struct {
 	pool     *pool
--- a/internal/forwarder/run_test.go
+++ b/internal/forwarder/run_test.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// TestFencedWhileRefusalIsRead answers the claim while the refusal of the call itself has been read in
+// part: the call is taken back once. Found by soak seed 10.
+func TestFencedWhileRefusalIsRead(t *testing.T) {
+	var call net.Conn
+	entry, _, u := withPeer(t, func(operation string, w net.Conn) bool {
+		if operation == "call" {
+			call = w
+			return true
+		}
+		_, _ = io.WriteString(call, "HTTP/1.1 503 X\r\nTamarackpitch-Run: no\r\nContent-Length: 5\r\n\r\nle")
+		time.Sleep(20 * time.Millisecond)
+		return refuse(w, 409, "fenced", "no")
+	})
+	r := do("POST", entry.url("/post"), "pay")
+	qt.Assert(t, r.body, qt.Equals, "fallback")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+}
+
 // TestFrozenNode gives no answer on any connection: an idempotent call goes elsewhere, a payment does not.
 func TestFrozenNode(t *testing.T) {
 	entry, _, u := withPeer(t, func(string, net.Conn) bool { return true })
