Hold an idempotency key on every reachable node of its group

Two of three nodes held the key; one was killed and the other's upstream froze, so that its lease lapsed and it left the group, within the three seconds between the payment and its repetition.

Ruled out: the ledger (no entry was dropped early) and the callers' transport.

Change: the owner asks all of the four nodes of the group and needs one besides itself; a node that gives no answer is passed over.

Before: TestKeyOutlivesTwoHolders ran 11 of 10 payments. After: 10 of 10 for every pair of four nodes. The price is two more round trips for a call with a key.

Conclusion: kept; services of up to four nodes lose a key only with all its holders.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -295,6 +295,11 @@
 	if now.Sub(a.began) < silence {
 		return
 	}
+	if a.kind == kindReserve {
+		x.dropAttempts()
+		x.reserve()
+		return
+	}
 	if a.local() {
 		x.checkUpstreamSilence(a)
 		return
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -76,6 +76,9 @@
 	// freshConn asks for a new connection to the local upstream.
 	freshConn bool
 
+	// holders counts the other nodes that hold the call's key.
+	holders int
+
 	entry    *ledgerEntry
 	keyEntry *ledgerEntry
 	capture  *answer
--- a/internal/forwarder/keys.go
+++ b/internal/forwarder/keys.go
@@ -8,9 +8,10 @@
 	"github.com/tamarackpitch/tamarackpitch/internal/ranker"
 )
 
-// keyGroup is the number of nodes that may know an idempotency key. A key is run only after
-// two of them hold it, so that any two runs of a key meet at one node at least.
-const keyGroup = 3
+// keyGroup is the number of nodes that hold an idempotency key. Every one that can be reached is
+// asked before the key runs, and at least one besides the owner has to hold it. So a later owner
+// meets a holder as long as not all of them have gone, or left the group, in the meantime.
+const keyGroup = 4
 
 // keyOwners returns the nodes that may know the call's key, best first.
 func (x *exchange) keyOwners() []*balancer.Endpoint {
@@ -96,7 +97,7 @@
 	x.answerFrom(e)
 }
 
-// reserve asks the other owners, one after the other, to hold the key.
+// reserve asks the other owners, one after the other, to hold the key, and then runs the call.
 func (x *exchange) reserve() {
 	f := x.forwarder
 	owners := x.keyOwners()
@@ -117,9 +118,16 @@
 		a := &attempt{exchange: x, kind: kindReserve, operation: operationReserve, id: f.newID(), endpoint: e}
 		x.attempt = a
 		f.pool(e.PeerAddress, peerConnections).serve(a)
+		if x.attempt == a {
+			x.arm(time.Now())
+		}
+		return
+	}
+	if x.holders == 0 {
+		x.refuse(503, "key-not-reserved", runNo)
 		return
 	}
-	x.refuse(503, "key-not-reserved", runNo)
+	x.dispatch()
 }
 
 func (x *exchange) reserveHead(a *attempt, m *message) {
@@ -131,7 +139,8 @@
 	m := a.swallowed
 	switch {
 	case m.status == 200:
-		x.dispatch()
+		x.holders++
+		x.reserve()
 	case m.get(headerRun) == runNo:
 		x.reserve()
 	default:
--- a/internal/forwarder/run_test.go
+++ b/internal/forwarder/run_test.go
@@ -215,11 +215,11 @@
 	qt.Assert(t, r.run, qt.Equals, "no")
 }
 
-// keyedMesh starts three nodes that share the keys of one service.
-func keyedMesh(t *testing.T, handler http.HandlerFunc) (nodes []*testNode, u *upstreamServer, view viewConfig) {
+// keyedMesh starts nodes that share the keys of one service.
+func keyedMesh(t *testing.T, count int, handler http.HandlerFunc) (nodes []*testNode, u *upstreamServer, view viewConfig) {
 	t.Helper()
 	u = newUpstream(t, handler)
-	for i := range 3 {
+	for i := range count {
 		n := newNode(t, fmt.Sprintf("n%d", i))
 		nodes = append(nodes, n)
 		view.endpoints = append(view.endpoints, n.endpoint("v1"))
@@ -232,7 +232,7 @@
 }
 
 func TestKeyRunsOnce(t *testing.T) {
-	nodes, u, _ := keyedMesh(t, func(w http.ResponseWriter, _ *http.Request) {
+	nodes, u, _ := keyedMesh(t, 3, func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(20 * time.Millisecond)
 		_, _ = io.WriteString(w, "paid")
 	})
@@ -253,7 +253,7 @@
 // TestKeyOutlivesItsOwner takes each node in turn away after a run: the others must not run the key again.
 func TestKeyOutlivesItsOwner(t *testing.T) {
 	for gone := range 3 {
-		nodes, u, view := keyedMesh(t, answering("paid"))
+		nodes, u, view := keyedMesh(t, 3, answering("paid"))
 		for i := range 10 {
 			key := fmt.Sprintf("k%d", i)
 			qt.Assert(t, do("POST", nodes[0].url("/post"), "pay", "Idempotency-Key", key).body, qt.Equals, "paid")
@@ -279,6 +279,35 @@
 	}
 }
 
+// TestKeyOutlivesTwoHolders takes every pair of four nodes away after a run: the rest must not run the
+// key again. Found by soak seed 13, where both holders went within three seconds.
+func TestKeyOutlivesTwoHolders(t *testing.T) {
+	for _, gone := range [][2]int{{0, 1}, {0, 2}, {0, 3}, {1, 2}, {1, 3}, {2, 3}} {
+		nodes, u, view := keyedMesh(t, 4, answering("paid"))
+		for i := range 10 {
+			qt.Assert(t, do("POST", nodes[0].url("/post"), "pay", "Idempotency-Key", fmt.Sprintf("k%d", i)).body, qt.Equals, "paid")
+		}
+		rest := viewConfig{local: view.local}
+		var left []*testNode
+		for i, e := range view.endpoints {
+			if i != gone[0] && i != gone[1] {
+				rest.endpoints = append(rest.endpoints, e)
+				left = append(left, nodes[i])
+			}
+		}
+		for _, n := range left {
+			n.publish(rest)
+		}
+		for i := range 10 {
+			r := do("POST", left[0].url("/post"), "pay", "Idempotency-Key", fmt.Sprintf("k%d", i))
+			if r.body != "paid" {
+				qt.Assert(t, r.run, qt.Equals, "unknown")
+			}
+		}
+		qt.Assert(t, u.runs.Load(), qt.Equals, int64(10))
+	}
+}
+
 // TestRolloutShare counts how calls are spread over the versions.
 func TestRolloutShare(t *testing.T) {
 	entry := newNode(t, "entry")
