Dial on a goroutine, end engines, and tell refused connections from cut calls

Cause: under the race detector the callback of nbio's asynchronous dial raced with the code that started it (the engine gives no order between them, and reports refused dials as connected). Tests of the forwarder took 30 s because ended nodes left their pollers behind. TestKeyRunsOnce got 'key-taken' once: the owner had fenced a late first try, and the second owner only knew that the key was taken.

Change: dials run on a goroutine and join under the lock; Close stops the engine; an owner that fenced a try is asked again.

The soak's check for graceful shutdowns counted connections that were refused because the node had ended as cut calls. Such calls have the outcome not-sent now and are not counted as cut; everything else is, as before.

--- a/internal/forwarder/claim.go
+++ b/internal/forwarder/claim.go
@@ -56,6 +56,7 @@
 	x.dropClaimed()
 	if m.get(headerRun) == runNo {
 		x.claimed.unsend()
+		x.allowOwnerAgain(x.claimed)
 		x.retryNotRun(m.get(headerRefusal))
 		return
 	}
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -218,22 +218,6 @@
 	return !errors.Is(peeked, unix.EAGAIN)
 }
 
-// connectError returns the error of a dial that the engine reports as connected.
-func connectError(c *nbio.Conn) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
-	code := 0
-	err = raw.Control(func(fd uintptr) {
-		code, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
-	})
-	if err == nil && code != 0 {
-		err = syscall.Errno(code)
-	}
-	return err
-}
-
 // closeWith ends the connection and tells its owner, once.
 func (n *conn) closeWith(err error) {
 	if n.closed {
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -2,10 +2,9 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
-
-	"github.com/lesismal/nbio"
 )
 
 const (
@@ -77,7 +76,7 @@
 	}
 	w.probing = true
 	p := &crashProbe{forwarder: f, address: f.local.upstream.Address}
-	time.AfterFunc(crashProbeDelay, p.start)
+	time.AfterFunc(crashProbeDelay, p.run)
 }
 
 // crashProbe tries to connect to an upstream that broke connections.
@@ -86,18 +85,10 @@
 	address   string
 }
 
-func (p *crashProbe) start() {
-	err := p.forwarder.engine.DialAsync("tcp", p.address, p.connected)
-	if err != nil {
-		p.finish(err)
-	}
-}
-
-func (p *crashProbe) connected(c *nbio.Conn, err error) {
+// run connects and closes again.
+func (p *crashProbe) run() {
+	c, err := net.DialTimeout("tcp", p.address, dialTimeout)
 	if err == nil {
-		err = connectError(c)
-	}
-	if c != nil {
 		_ = c.Close()
 	}
 	p.finish(err)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -133,7 +133,11 @@
 	return f.listener[0].Addr().String(), f.listener[1].Addr().String()
 }
 
+// onOpen is called for accepted connections, and with the lock held for dialled ones, which have their session.
 func (f *Forwarder) onOpen(c *nbio.Conn) {
+	if c.Session() != nil {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	fromPeer := c.LocalAddr().(*net.TCPAddr).Port == f.peerPort
@@ -255,4 +259,12 @@
 	}
 	close(f.stop)
 	<-f.done
+	go (&engineStopper{engine: f.engine}).run()
 }
+
+// engineStopper ends an engine beside its owner, since the engine waits for every connection's last callback.
+type engineStopper struct {
+	engine *nbio.Engine
+}
+
+func (s *engineStopper) run() { s.engine.Stop() }
--- a/internal/forwarder/keys.go
+++ b/internal/forwarder/keys.go
@@ -61,6 +61,15 @@
 	return x.key != "" && x.operation == "" && x.keyEntry == nil
 }
 
+// allowOwnerAgain lets the owner of the key be asked once more, after it has fenced the first try:
+// it is well, and another owner would only know that the key is taken.
+func (x *exchange) allowOwnerAgain(a *attempt) {
+	x.tries++
+	if x.awaitsOwner() && x.tries < maxTries {
+		delete(x.tried, "owner/"+a.endpoint.Node)
+	}
+}
+
 func (x *exchange) ledgerKey() string { return x.route.Service + "\x00" + x.key }
 
 // ownKey runs a keyed call on the node that owns the key, or answers from the earlier run.
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -79,60 +79,32 @@
 	return nil
 }
 
-// dialing is one connection attempt. The engine does not always report a failed dial, hence the timer.
+// dialing opens one connection for an attempt, on a goroutine of its own.
 type dialing struct {
-	pool     *pool
-	attempt  *attempt
-	timer    *time.Timer
-	finished bool
+	pool    *pool
+	attempt *attempt
 }
 
 func (p *pool) dial(a *attempt) {
 	p.total++
-	d := &dialing{pool: p, attempt: a}
-	d.timer = time.AfterFunc(dialTimeout, d.onTimeout)
-	if err := p.forwarder.engine.DialAsync("tcp", p.address, d.onConnected); err != nil {
-		d.finish(nil, err)
-	}
-}
-
-func (d *dialing) onTimeout() {
-	d.pool.forwarder.mu.Lock()
-	defer d.pool.forwarder.mu.Unlock()
-	d.finish(nil, &Error{Operation: "dial", Kind: KindTimeout, Detail: d.pool.address})
-}
-
-// onConnected is called by the engine, also for a dial that was refused.
-func (d *dialing) onConnected(c *nbio.Conn, err error) {
-	d.pool.forwarder.mu.Lock()
-	defer d.pool.forwarder.mu.Unlock()
-	if err == nil {
-		err = connectError(c)
-	}
-	if d.finished && c != nil {
-		_ = c.Close()
-	}
-	d.finish(c, err)
+	go (&dialing{pool: p, attempt: a}).run()
 }
 
-func (d *dialing) finish(c *nbio.Conn, err error) {
-	if d.finished {
-		return
-	}
-	d.finished = true
-	d.timer.Stop()
+func (d *dialing) run() {
 	p := d.pool
+	c, err := nbio.DialTimeout("tcp", p.address, dialTimeout)
+	p.forwarder.mu.Lock()
+	defer p.forwarder.mu.Unlock()
 	if err != nil {
-		if c != nil {
-			_ = c.Close()
-		}
-		p.total--
-		d.attempt.dialFailed(err)
-		p.serveWaiting()
+		d.fail(err)
 		return
 	}
 	n := &clientConn{forwarder: p.forwarder, pool: p}
 	n.conn = newConn(p.forwarder, c, n, true)
+	if _, err := p.forwarder.engine.AddConn(c); err != nil {
+		d.fail(err)
+		return
+	}
 	if d.attempt.ended {
 		p.put(n)
 		return
@@ -140,6 +112,12 @@
 	d.attempt.connected(n)
 }
 
+func (d *dialing) fail(err error) {
+	d.pool.total--
+	d.attempt.dialFailed(err)
+	d.pool.serveWaiting()
+}
+
 // put takes back a connection whose answer has been read whole.
 func (p *pool) put(c *clientConn) {
 	c.attempt = nil
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -182,6 +184,9 @@
 	if err != nil {
 		r.Refusal = err.Error()
 		r.Latency = time.Since(started)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.Outcome = NotSent
+		}
 		return r
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/internal/standin/caller/outcome.go
+++ b/internal/standin/caller/outcome.go
@@ -15,6 +15,8 @@
 	Unknown Outcome = "unknown"
 	// Lost is a connection that ended before the whole answer.
 	Lost Outcome = "lost"
+	// NotSent is a connection that was refused: no request left the caller.
+	NotSent Outcome = "not-sent"
 	// Wrong is an answer that belongs to another call or is not what the upstream sent.
 	Wrong Outcome = "wrong"
 )
