--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -17,14 +17,13 @@
 
 // Invariants.
 const (
-	VersionMonotonic  Invariant = "version-monotonic"
-	RouteResolved     Invariant = "route-resolved"
-	AppliedWhole      Invariant = "applied-whole"
-	AtMostOnce        Invariant = "at-most-once"
-	NotRunTrue        Invariant = "not-run-true"
-	OneAnswer         Invariant = "one-answer"
-	NoWorkToLeaving   Invariant = "no-work-to-leaving"
-	RolloutShareBound Invariant = "rollout-share-bound"
+	VersionMonotonic Invariant = "version-monotonic"
+	RouteResolved    Invariant = "route-resolved"
+	AppliedWhole     Invariant = "applied-whole"
+	AtMostOnce       Invariant = "at-most-once"
+	NotRunTrue       Invariant = "not-run-true"
+	OneAnswer        Invariant = "one-answer"
+	NoWorkToLeaving  Invariant = "no-work-to-leaving"
 )
 
 // FatalEnvironment names the environment variable that makes a violation end the process.
--- a/internal/controller/crashes.go
+++ b/internal/controller/crashes.go
@@ -84,7 +84,7 @@
 	return marks
 }
 
-func (k *Controller) refusedRequests(_ time.Time) map[uint64]bool {
+func (k *Controller) refusedRequests() map[uint64]bool {
 	var refused map[uint64]bool
 	for fingerprint, r := range k.crashes {
 		if len(r.crashes) < crashesToRefuse {
--- a/internal/controller/query.go
+++ b/internal/controller/query.go
@@ -107,11 +107,10 @@
 	return s
 }
 
-// Members returns all remembered members, sorted by name.
+// Members returns the usable members, sorted by name.
 func (k *Controller) Members() []MemberStatus {
 	var all []*schema.Member
 	k.do(func() { all = k.table.Usable() })
-	slices.SortFunc(all, compareNames)
 	members := make([]MemberStatus, len(all))
 	for i, m := range all {
 		members[i] = MemberStatus{Node: m.Node, Zone: m.Zone, Region: m.Region, Status: statusName(m.Status),
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"errors"
 	"strconv"
 	"time"
 
@@ -109,8 +108,6 @@
 func (k *Controller) adoptSnapshot(m *schema.Snapshot, now time.Time) {
 	next, err := reducer.DecodeState(m.State)
 	if err != nil {
-		var e *reducer.Error
-		errors.As(err, &e)
 		k.common.Logger.Warn("snapshot refused", "reason", err)
 		k.record("snapshot-refused", map[string]string{"reason": err.Error()})
 		return
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
@@ -92,7 +91,7 @@
 	next.Leaving = k.leaving
 	next.Members = k.table.Len()
 	next.Local = k.lease.local(k.state.DrainedNodes[next.Node] || k.leaving)
-	next.Refused = k.refusedRequests(now)
+	next.Refused = k.refusedRequests()
 	view := &next
 	if k.view.dirtyAll {
 		view.Version = k.state.Version
@@ -167,6 +166,3 @@
 	}
 	return roller.ShareAt(k.state.Preset(), int(p.Step))
 }
-
-// compareNames orders members by node name.
-func compareNames(a, b *schema.Member) int { return strings.Compare(a.Node, b.Node) }
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -65,7 +65,7 @@
 	full := p.total >= p.limit
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if now.Sub(c.idleSince) < p.rest && !(full && i == 0) {
+		if now.Sub(c.idleSince) < p.rest && (!full || i > 0) {
 			continue
 		}
 		if c.conn.hasInput() {
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -77,7 +77,7 @@
 	case t.step >= last:
 		d.Completed = elapsed >= t.watch()
 		d.Reason = "all traffic moved and the watch period passed"
-	case elapsed >= t.stepTime(now) && t.stepCalls >= t.neededCalls(now) && t.everyRouteTried(now):
+	case elapsed >= t.stepTime() && t.stepCalls >= t.neededCalls(now) && t.everyRouteTried(now):
 		t.step, t.stepSince, t.stepCalls = t.step+1, now, 0
 		d.Step = t.step
 	}
@@ -91,13 +91,13 @@
 }
 
 // stepTime is the preset's interval, shortened where the deadline is near.
-func (t *Trial) stepTime(now time.Time) time.Duration {
+func (t *Trial) stepTime() time.Duration {
 	interval := time.Duration(t.config.Preset.StepIntervalMs) * time.Millisecond
-	return max(min(interval, t.budget(now)), minStep)
+	return max(min(interval, t.budget()), minStep)
 }
 
 // budget is the time each remaining step may take so that the last one is reached by the deadline.
-func (t *Trial) budget(_ time.Time) time.Duration {
+func (t *Trial) budget() time.Duration {
 	remaining := LastStep(t.config.Preset) - t.step
 	if remaining <= 0 {
 		return t.watch()
@@ -109,7 +109,7 @@
 // neededCalls is the preset's evidence, and less once the step takes longer than its budget.
 func (t *Trial) neededCalls(now time.Time) uint64 {
 	needed := uint64(max(t.config.Preset.MinCalls, floorCalls))
-	if now.Sub(t.stepSince) > t.budget(now) {
+	if now.Sub(t.stepSince) > t.budget() {
 		return min(needed, floorCalls)
 	}
 	return needed
@@ -118,7 +118,7 @@
 // everyRouteTried tells whether the new version has taken a few calls on every route that the old one
 // serves. Only the first step waits for that, and only while the deadline leaves the time.
 func (t *Trial) everyRouteTried(now time.Time) bool {
-	if t.step > 0 || now.Sub(t.stepSince) > t.budget(now) {
+	if t.step > 0 || now.Sub(t.stepSince) > t.budget() {
 		return true
 	}
 	for _, r := range t.routes {
@@ -137,5 +137,5 @@
 	if now.After(t.deadline()) {
 		return true
 	}
-	return now.Sub(t.stepSince) > 2*t.budget(now)
+	return now.Sub(t.stepSince) > 2*t.budget()
 }
