--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -215,10 +215,30 @@
 			d.say("%s %s: %s", r.Name, r.Phase, r.Reason)
 		}
 	}
+	d.timeline("tracker-v2")
 	d.check(phases["status-desk-v2"].Phase == "completed", "good-version-completed")
 	d.check(phases["tracker-v2"].Phase == "rolled-back", "bad-version-rolled-back")
 }
 
+// timeline shows the first event of each kind of a rollout.
+func (d *Demo) timeline(rollout string) {
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	events, err := d.mesh.Operator.Timeline(ctx)
+	if err != nil {
+		d.say("%v", err)
+		return
+	}
+	d.say("time line of %s, the first event of each kind:", rollout)
+	seen := map[string]bool{}
+	for _, e := range events {
+		if e.Rollout == rollout && !seen[e.Name] {
+			seen[e.Name] = true
+			d.say("%s", operator.Line(e))
+		}
+	}
+}
+
 func (d *Demo) rollouts() []controller.RolloutStatus {
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
