--- a/internal/standin/soak/operators.go
+++ b/internal/standin/soak/operators.go
@@ -70,8 +70,8 @@
 	return err
 }
 
-// publish publishes one text in the background and notes the accepted version.
-func (s *Soak) publish(text string) {
+// attempt publishes one text in the background and hands over what became of it.
+func (s *Soak) attempt(text string, then func(operator.Accepted, error)) {
 	declarations, err := s.decode(text)
 	if err != nil {
 		s.violate("declaration refused: %v", err)
@@ -80,18 +80,29 @@
 	s.start(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
 		defer cancel()
-		accepted, err := s.mesh.Operator.Publish(ctx, declarations)
+		then(s.mesh.Operator.Publish(ctx, declarations))
+	})
+}
+
+// publish publishes one text and notes the accepted version.
+func (s *Soak) publish(text string) {
+	s.attempt(text, func(accepted operator.Accepted, err error) {
 		if err != nil {
 			s.log("  publish: %v", err)
 			return
 		}
-		s.mu.Lock()
-		s.accepted = max(s.accepted, accepted.Version)
-		s.mu.Unlock()
+		s.note(accepted)
 		s.log("  accepted version %d", accepted.Version)
 	})
 }
 
+// note remembers the newest accepted version.
+func (s *Soak) note(accepted operator.Accepted) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepted = max(s.accepted, accepted.Version)
+}
+
 func (s *Soak) publishRoute() {
 	s.publish(fmt.Sprintf(`
 kind: route
@@ -128,15 +139,7 @@
 idempotent: true
 class: lookups
 `, s.random.IntN(1000))
-	declarations, err := s.decode(text)
-	if err != nil {
-		s.violate("declaration refused: %v", err)
-		return
-	}
-	s.start(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
-		defer cancel()
-		_, err := s.mesh.Operator.Publish(ctx, declarations)
+	s.attempt(text, func(_ operator.Accepted, err error) {
 		var own *operator.Error
 		if err == nil {
 			s.violate("a record with a dangling route was accepted")
@@ -193,9 +196,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
 	if accepted, err := s.mesh.Operator.Drain(ctx, vm.Spec.Name, draining); err == nil {
-		s.mu.Lock()
-		s.accepted = max(s.accepted, accepted.Version)
-		s.mu.Unlock()
+		s.note(accepted)
 	}
 }
 
