Let the log stand-in keep its records over a restart

Cause: killing the stand-in's process lost the log, so that the demo's claim about any one process could not be shown for it; the platform's own log keeps its records.

The event of a rollback under way has the field's name.

--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -149,7 +149,7 @@
 	k.broadcast(f, from)
 	if p.RolledBack {
 		k.common.Logger.Warn("rollout rolled back", "rollout", r.Name, "reason", p.Reason)
-		k.recordRollout(r, "rollout-brake", map[string]string{"reason": p.Reason})
+		k.recordRollout(r, "rollout-rolling-back", map[string]string{"reason": p.Reason})
 		return
 	}
 	share := strconv.FormatFloat(roller.ShareAt(k.state.Preset(), int(p.Step)), 'g', 3, 64)
--- a/internal/standin/harness/mesh.go
+++ b/internal/standin/harness/mesh.go
@@ -89,7 +89,8 @@
 		return nil, err
 	}
 	m := &Mesh{config: c, LogURL: "http://" + addresses[0], Requester: requester.New(engine), Ledger: filepath.Join(c.Dir, "ledger")}
-	m.Log, err = start(c.Dir, "log", c.Standin, "log", "--listen="+addresses[0])
+	m.Log, err = start(c.Dir, "log", c.Standin, "log", "--listen="+addresses[0],
+		"--file="+filepath.Join(c.Dir, "records"))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/logserver/logserver.go
+++ b/internal/standin/logserver/logserver.go
@@ -1,6 +1,6 @@
 // Package logserver stands in for the platform's append-only log service in tests.
 //
-// It keeps records in memory and speaks HTTP: POST /streams/{stream}/records appends,
+// It speaks HTTP: POST /streams/{stream}/records appends,
 // GET /streams/{stream}/records?from=&max=&wait-ms= reads, GET /streams/{stream} gives the bounds,
 // POST /faults sets the faults.
 package logserver
@@ -48,6 +48,10 @@
 type Server struct {
 	mux *http.ServeMux
 
+	// appending keeps the journal's order and the streams' the same.
+	appending sync.Mutex
+	journal   *journal
+
 	mu      sync.Mutex
 	streams map[string]*stream
 	faults  Faults
@@ -55,8 +59,8 @@
 	counts  Counts
 }
 
-// New returns an empty log.
-func New() *Server {
+// New returns a log that keeps its records in a file, or in memory only if the path is empty.
+func New(path string) (*Server, error) {
 	s := &Server{mux: http.NewServeMux(), streams: map[string]*stream{}, faults: Faults{Rate: defaultRate},
 		limiter: rate.NewLimiter(defaultRate, defaultRate)}
 	s.mux.HandleFunc("POST /streams/{stream}/records", s.guard(s.serveAppend))
@@ -64,7 +68,9 @@
 	s.mux.HandleFunc("GET /streams/{stream}", s.guard(s.serveBounds))
 	s.mux.HandleFunc("POST /faults", s.serveFaults)
 	s.mux.HandleFunc("GET /counts", s.serveCounts)
-	return s
+	var err error
+	s.journal, err = openJournal(path, func(e entry) { s.stream(e.Stream).append(e.Body, 0) })
+	return s, err
 }
 
 // ServeHTTP implements http.Handler.
@@ -110,7 +116,14 @@
 		return
 	}
 	f := s.current()
-	offset := s.stream(r.PathValue("stream")).append(body, f.Retain)
+	s.appending.Lock()
+	defer s.appending.Unlock()
+	name := r.PathValue("stream")
+	if err := s.journal.write(entry{Stream: name, Body: body}); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	offset := s.stream(name).append(body, f.Retain)
 	s.count(func(c *Counts) { c.Appends++ })
 	if f.LoseAnswers {
 		http.Error(w, "answer lost", http.StatusInternalServerError)
--- a/internal/standin/standinapp/standinapp.go
+++ b/internal/standin/standinapp/standinapp.go
@@ -62,11 +62,16 @@
 
 type logCommand struct {
 	Listen string `help:"Address, IP:port." default:"127.0.0.1:8090"`
+	File   string `help:"File that keeps the records over restarts; without it they are in memory only."`
 }
 
 // Run serves the log until a signal.
 func (c *logCommand) Run() error {
-	if _, err := requester.NewEngine(c.Listen, logserver.New()); err != nil {
+	server, err := logserver.New(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := requester.NewEngine(c.Listen, server); err != nil {
 		return err
 	}
 	<-untilSignal().Done()
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -124,10 +124,13 @@
 	worldOf(s).mesh.RelayFault(vmOf(s, arguments[1]), "/"+arguments[0])
 }
 
-// logCommand: log outage|slow|lose-answers|ok, or log retain N
+// logCommand: log outage|slow|lose-answers|ok|kill|restart, or log retain N
 func logCommand(s *testscript.TestScript, _ bool, arguments []string) {
 	f := logserver.Faults{}
 	switch arguments[0] {
+	case "kill", "restart":
+		act(s, worldOf(s).mesh.Log, arguments[0])
+		return
 	case "outage":
 		f.Outage = true
 	case "slow":
