Publish and wait in one place in the harness

The latency bench, the load bench and the soak each had the same publish-and-wait with a timeout of ten seconds; harness.Mesh.Publish serves all three.

Left as it is: duties are assigned at every tick in a small mesh and once a second in a large one; one call at every tick would be simpler, but would choose four times as often while a large mesh changes, against what docs/CAPACITY.md says.

--- a/internal/standin/latency/latency.go
+++ b/internal/standin/latency/latency.go
@@ -19,7 +19,6 @@
 	path        = "/status/1?size=1024"
 	bodyBytes   = 1024
 	callTimeout = 5 * time.Second
-	setUpTime   = 10 * time.Second
 	warmUp      = time.Second
 )
 
@@ -68,13 +67,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), setUpTime)
-	defer cancel()
-	accepted, err := m.Operator.Publish(ctx, declarations)
-	if err != nil {
-		return err
-	}
-	_, _, err = m.Operator.Wait(ctx, accepted.Version)
+	_, err = m.Publish(declarations)
 	return err
 }
 
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -19,7 +19,6 @@
 	upstreams     = 3
 	slots         = 4
 	upstreamMs    = 20
-	setUpTime     = 10 * time.Second
 	callTimeout   = 8 * time.Second
 	capacityCalls = upstreams * slots * 1000 / upstreamMs
 	topShare      = 0.2
@@ -116,13 +115,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), setUpTime)
-	defer cancel()
-	accepted, err := m.Operator.Publish(ctx, all)
-	if err != nil {
-		return err
-	}
-	_, _, err = m.Operator.Wait(ctx, accepted.Version)
+	_, err = m.Publish(all)
 	return err
 }
 
--- a/internal/standin/soak/operators.go
+++ b/internal/standin/soak/operators.go
@@ -59,14 +59,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
-	defer cancel()
-	accepted, err := s.mesh.Operator.Publish(ctx, append(base, presets...))
-	if err != nil {
-		return err
-	}
-	s.accepted = accepted.Version
-	_, _, err = s.mesh.Operator.Wait(ctx, accepted.Version)
+	s.accepted, err = s.mesh.Publish(append(base, presets...))
 	return err
 }
 
