--- a/internal/adminserver/adminserver.go
+++ b/internal/adminserver/adminserver.go
@@ -22,6 +22,8 @@
 	Controller func() *controller.Controller
 	// Refusals returns refused calls by reason.
 	Refusals func() map[string]uint64
+	// Platform serves the calls of the platform, or is nil.
+	Platform http.Handler
 }
 
 // Server is the handler of the admin address.
@@ -41,6 +43,9 @@
 	s.mux.HandleFunc("GET /refusals", s.serveRefusals)
 	s.mux.HandleFunc("POST /announce", s.withController(s.serveAnnouncement))
 	s.mux.Handle("GET /metrics", promhttp.Handler())
+	if c.Platform != nil {
+		s.mux.Handle("/api/", c.Platform)
+	}
 	return s
 }
 
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -1,7 +1,14 @@
-// Package admitter limits the calls that run at one upstream and queues the rest by priority.
+// Package admitter limits the calls that run at one upstream, orders those that wait, and turns away at
+// once those that would wait in vain.
+//
+// It answers load beyond the upstream's slots: the queue holds no more than can still be answered in time,
+// higher ranks go first and push out lower ones, and what is turned away learns it before it has waited.
 package admitter
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Verdict tells what became of a request for a slot.
 type Verdict int
@@ -16,6 +23,16 @@
 	Refused
 )
 
+// Claim is what an item asks for.
+type Claim struct {
+	// Rank orders the items; 0 goes first.
+	Rank int
+	// MayWait tells whether the item may wait for a slot.
+	MayWait bool
+	// LatestStart is when the item should have a slot. It is refused if it would wait longer. Zero is any time.
+	LatestStart time.Time
+}
+
 // Admitter hands out slots. It is not safe for concurrent use.
 type Admitter[T comparable] struct {
 	slots       int
@@ -25,8 +42,13 @@
 	// queues holds the waiting items by rank, 0 being the highest priority.
 	queues [][]T
 	queued int
+	// service is the moving average of the time that an item holds its slot.
+	service time.Duration
 }
 
+// serviceWeight is the weight of a new service time in the moving average.
+const serviceWeight = 0.1
+
 // SetLimits changes the number of slots and the longest queue.
 func (a *Admitter[T]) SetLimits(slots, queueLength int) {
 	a.slots = slots
@@ -39,27 +61,54 @@
 // Queued returns the number of waiting items.
 func (a *Admitter[T]) Queued() int { return a.queued }
 
+// ServiceTime returns the time for which an item holds its slot on average, or 0 if none has.
+func (a *Admitter[T]) ServiceTime() time.Duration { return a.service }
+
+// NoteService takes in for how long an item held its slot.
+func (a *Admitter[T]) NoteService(d time.Duration) {
+	if a.service == 0 {
+		a.service = d
+		return
+	}
+	a.service += time.Duration(serviceWeight * float64(d-a.service))
+}
+
 // Enter asks for a slot. Where the queue is full, a waiting item of lower priority
 // makes room and is returned as evicted.
-func (a *Admitter[T]) Enter(item T, rank int) (verdict Verdict, evicted T, hasEvicted bool) {
+func (a *Admitter[T]) Enter(item T, c Claim, now time.Time) (verdict Verdict, evicted T, hasEvicted bool) {
 	if a.inFlight < a.slots && a.queued == 0 {
 		a.inFlight++
 		return Granted, evicted, false
 	}
+	if !c.MayWait || a.slots == 0 || !c.LatestStart.IsZero() && now.Add(a.Wait(c.Rank)).After(c.LatestStart) {
+		return Refused, evicted, false
+	}
 	if a.queued >= a.queueLength {
-		evicted, hasEvicted = a.evictBelow(rank)
+		evicted, hasEvicted = a.evictBelow(c.Rank)
 		if !hasEvicted {
 			return Refused, evicted, false
 		}
 	}
-	for len(a.queues) <= rank {
+	for len(a.queues) <= c.Rank {
 		a.queues = append(a.queues, nil)
 	}
-	a.queues[rank] = append(a.queues[rank], item)
+	a.queues[c.Rank] = append(a.queues[c.Rank], item)
 	a.queued++
 	return Queued, evicted, hasEvicted
 }
 
+// Wait estimates how long an item of a rank would wait for a slot.
+func (a *Admitter[T]) Wait(rank int) time.Duration {
+	if a.inFlight < a.slots && a.queued == 0 || a.slots == 0 {
+		return 0
+	}
+	ahead := max(a.inFlight-a.slots, 0) + 1
+	for r := 0; r <= rank && r < len(a.queues); r++ {
+		ahead += len(a.queues[r])
+	}
+	return time.Duration(ahead) * a.service / time.Duration(a.slots)
+}
+
 // evictBelow takes out the newest waiting item of the lowest priority below rank.
 func (a *Admitter[T]) evictBelow(rank int) (item T, ok bool) {
 	for r := len(a.queues) - 1; r > rank; r-- {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/settings"
 )
 
 // commandLine is the whole command line of tamarackpitch.
@@ -32,6 +34,7 @@
 		kong.Name("tamarackpitch"),
 		kong.Description("Distributes the configuration of a service mesh and carries its calls."),
 		kong.DefaultEnvars("TAMARACKPITCH"),
+		kong.Configuration(settings.Loader),
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(code int) { exit = code }),
 		kong.BindTo(stdout, (*io.Writer)(nil)),
--- a/internal/app/commands.go
+++ b/internal/app/commands.go
@@ -26,7 +26,7 @@
 
 // command returns an operator and the context of one command.
 func (m mesh) command() (*operator.Operator, context.Context, context.CancelFunc, error) {
-	engine, err := requester.NewEngine("", nil)
+	engine, err := requester.NewEngine(nil)
 	if err != nil {
 		return nil, nil, nil, err
 	}
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -10,12 +10,14 @@
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"github.com/tamarackpitch/tamarackpitch/internal/adminserver"
 	"github.com/tamarackpitch/tamarackpitch/internal/checker"
 	"github.com/tamarackpitch/tamarackpitch/internal/common"
 	"github.com/tamarackpitch/tamarackpitch/internal/controller"
 	"github.com/tamarackpitch/tamarackpitch/internal/forwarder"
-	"github.com/tamarackpitch/tamarackpitch/internal/logclient"
+	"github.com/tamarackpitch/tamarackpitch/internal/logwriter"
 	"github.com/tamarackpitch/tamarackpitch/internal/meterer"
 	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
 	"github.com/tamarackpitch/tamarackpitch/internal/requester"
@@ -25,15 +27,15 @@
 )
 
 const (
-	logTimeout = 2 * time.Second
-	// spreadTime lets the mesh hear that a node leaves before it stops taking calls.
-	spreadTime = time.Second
 	// gcPercent trades heap, which the memory limit bounds, for fewer collections.
 	gcPercent = 400
+	// flushTimeout bounds the wait for the last log lines at the end of the process.
+	flushTimeout = 200 * time.Millisecond
 )
 
 // Node runs the node command.
 type Node struct {
+	Settings kong.ConfigFlag `help:"File with settings: YAML with the names of these flags as keys."`
 	settings.Node
 }
 
@@ -44,24 +46,29 @@
 	debug.SetMemoryLimit(int64(n.MemoryLimitMB) << 20)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	p, err := startNode(n.Node)
+	output := logwriter.New(os.Stdout)
+	defer output.Close(flushTimeout)
+	p, err := startNode(n.Node, output)
 	if err != nil {
 		return err
 	}
+	r := newReloader(p.common, string(n.Settings))
 	<-ctx.Done()
 	p.shutDown()
+	r.close()
 	return nil
 }
 
 // nodeProcess is a running node with all its parts.
 type nodeProcess struct {
 	common     *common.Common
+	dialect    dialect
 	forwarder  *forwarder.Forwarder
 	controller atomic.Pointer[controller.Controller]
 }
 
-func newCommon(s settings.Node) *common.Common {
-	logger := newLogger(os.Stderr, s.LogLevel).With("node", s.Name)
+func newCommon(s settings.Node, output *logwriter.Writer) *common.Common {
+	logger := newLogger(output, s.LogLevel).With("node", s.Name)
 	r := recorder.New(s.Name, time.Now)
 	c := checker.New(checker.Config{Logger: logger, OnViolation: func(i checker.Invariant, detail string) {
 		r.Record(recorder.Event{Name: "invariant-violated", Fields: map[string]string{"invariant": string(i), "detail": detail}})
@@ -69,21 +76,23 @@
 	return &common.Common{Logger: logger, Settings: s, Checker: c, Recorder: r}
 }
 
-func startNode(s settings.Node) (*nodeProcess, error) {
-	p := &nodeProcess{common: newCommon(s)}
+func startNode(s settings.Node, output *logwriter.Writer) (*nodeProcess, error) {
+	p := &nodeProcess{common: newCommon(s, output)}
+	p.dialect = newDialect(p.common, p.controller.Load)
 	var err error
-	p.forwarder, err = forwarder.New(forwarder.Config{Common: p.common, ReportCrash: p.reportCrash})
+	p.forwarder, err = forwarder.New(forwarder.Config{Common: p.common, ReportCrash: p.reportCrash,
+		Dialect: p.dialect.headers, Service: s.Service})
 	if err != nil {
 		return nil, err
 	}
-	admin := adminserver.New(adminserver.Config{Common: p.common, Controller: p.controller.Load, Refusals: p.forwarder.Stats().Refusals})
-	engine, err := requester.NewEngine(s.AdminListen, admin)
+	admin := adminserver.New(adminserver.Config{Common: p.common, Controller: p.controller.Load,
+		Refusals: p.forwarder.Stats().Refusals, Platform: p.dialect.handler})
+	engine, err := requester.NewEngine(admin, s.AdminListen, s.UpstreamListen, s.ReadyListen)
 	if err != nil {
 		return nil, err
 	}
-	log := logclient.New(logclient.Config{URL: s.LogURL, Requester: requester.New(engine), Timeout: logTimeout})
-	k, err := controller.New(controller.Config{Common: p.common, Log: log, Self: member(s),
-		Evidence: p.forwarder, Publish: p.publish})
+	k, err := controller.New(controller.Config{Common: p.common, Log: p.dialect.newLog(requester.New(engine)), Reduce: p.dialect.reduce,
+		Self: member(s), Evidence: p.forwarder, Publish: p.publish})
 	if err != nil {
 		return nil, err
 	}
@@ -112,7 +121,7 @@
 func (p *nodeProcess) shutDown() {
 	p.common.Logger.Info("node leaving")
 	p.controller.Load().Leave()
-	time.Sleep(spreadTime)
+	time.Sleep(p.common.Settings.LeaveDelay)
 	if !p.forwarder.Drain(p.common.Settings.DrainTimeout) {
 		p.common.Logger.Warn("calls cut off by the end of the drain timeout")
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,5 +1,8 @@
-// Package balancer chooses an upstream for a call: the better of two random candidates,
-// by the calls in flight, recent latency, availability zone and warmth.
+// Package balancer chooses the upstream for a call: the one where it is expected to be done first, where
+// carrying the answer from another availability zone counts as time.
+//
+// It answers uneven load: zones and upstreams whose callers, speeds and failures differ, while each node knows of the
+// others' load only what their answers tell.
 package balancer
 
 import (
@@ -8,70 +11,100 @@
 )
 
 const (
-	// otherZoneFactor makes an endpoint of another zone cost more until the own zone is busier by that much.
-	otherZoneFactor = 1.5
-	// coldFactor makes an endpoint in its cold start cost more.
-	coldFactor = 4
-	// suspectFactor makes a suspected endpoint cost more.
-	suspectFactor = 8
-	// latencyFloor keeps very fast endpoints from drawing all calls.
-	latencyFloor = 0.001
+	// coldFactor multiplies the service time of an upstream in its cold start.
+	coldFactor = 2
+	// suspectCost is added for an endpoint whose node misses its heartbeats.
+	suspectCost = time.Second
+	// defaultServiceTime stands for that of an endpoint that has not answered yet.
+	defaultServiceTime = 100 * time.Millisecond
+	// sampleSize bounds the endpoints that are compared of each group, own zone and others.
+	sampleSize = 16
 )
 
 // Balancer chooses endpoints for one node.
 type Balancer struct {
 	// Zone is the node's own availability zone.
 	Zone string
-	// Random gives the candidates.
+	// Random breaks ties and samples.
 	Random *rand.Rand
 }
 
-// Choose returns an endpoint for which skip is false, or nil. Ejected endpoints come last.
-func (b Balancer) Choose(endpoints []*Endpoint, skip func(*Endpoint) bool, now time.Time) *Endpoint {
-	if e := b.choose(endpoints, func(e *Endpoint) bool { return skip(e) || e.Load.Ejected(now) }, now); e != nil {
-		return e
-	}
-	return b.choose(endpoints, skip, now)
+// Call is what the choice depends on besides the endpoints.
+type Call struct {
+	// Skip tells which endpoints can't be used.
+	Skip func(*Endpoint) bool
+	// ZoneCost is the time that a caller's answer from another zone counts for.
+	ZoneCost time.Duration
 }
 
-func (b Balancer) choose(endpoints []*Endpoint, skip func(*Endpoint) bool, now time.Time) *Endpoint {
-	first := b.pick(endpoints, skip, nil)
-	if first == nil {
-		return nil
-	}
-	second := b.pick(endpoints, skip, first)
-	if second == nil || b.cost(first, now) <= b.cost(second, now) {
-		return first
+// Choice is an endpoint with the time after which the call is expected to be done there.
+type Choice struct {
+	Endpoint *Endpoint
+	Expected time.Duration
+}
+
+// Choose returns the best endpoint, or a Choice without one. Ejected endpoints come last.
+func (b Balancer) Choose(endpoints []*Endpoint, c Call, now time.Time) Choice {
+	if choice := b.choose(endpoints, c, now, false); choice.Endpoint != nil {
+		return choice
 	}
-	return second
+	return b.choose(endpoints, c, now, true)
 }
 
-// pick walks from a random start to the first endpoint that may be used.
-func (b Balancer) pick(endpoints []*Endpoint, skip func(*Endpoint) bool, other *Endpoint) *Endpoint {
-	if len(endpoints) == 0 {
-		return nil
+func (b Balancer) choose(endpoints []*Endpoint, c Call, now time.Time, ejected bool) Choice {
+	var best Choice
+	var bestCost time.Duration
+	var own, others int
+	n := len(endpoints)
+	if n == 0 {
+		return best
 	}
-	start := b.Random.IntN(len(endpoints))
-	for i := range endpoints {
-		e := endpoints[(start+i)%len(endpoints)]
-		if e != other && !skip(e) {
-			return e
+	start := b.Random.IntN(n)
+	for i := range n {
+		e := endpoints[(start+i)%n]
+		if c.Skip(e) || e.Load.Ejected(now) != ejected || !b.sampled(e, &own, &others) {
+			continue
+		}
+		expected := e.expected(now)
+		cost := expected
+		if e.Zone != b.Zone {
+			cost += c.ZoneCost
+		}
+		if best.Endpoint == nil || cost < bestCost {
+			best, bestCost = Choice{Endpoint: e, Expected: expected}, cost
 		}
 	}
-	return nil
+	return best
 }
 
-func (b Balancer) cost(e *Endpoint, now time.Time) float64 {
-	slots := float64(max(e.Slots, 1))
-	cost := (float64(e.Load.inFlight(now)) + 1) / slots * max(e.Load.latency, latencyFloor)
-	if e.Zone != b.Zone {
-		cost *= otherZoneFactor
+// sampled counts an endpoint and tells whether it is among the first of its group.
+func (b Balancer) sampled(e *Endpoint, own, others *int) bool {
+	group := others
+	if e.Zone == b.Zone {
+		group = own
 	}
+	*group++
+	return *group <= sampleSize
+}
+
+// expected is the time until a call that is sent now is done: the wait for a slot and the service.
+func (e *Endpoint) expected(now time.Time) time.Duration {
+	service := e.Load.ServiceTime()
 	if now.Before(e.WarmAt) {
-		cost *= coldFactor
+		service *= coldFactor
 	}
+	slots := max(int(e.Slots), 1)
+	expected := service
+	if ahead := e.Load.inFlight(now) + 1 - slots; ahead > 0 {
+		expected += time.Duration(ahead) * service / time.Duration(slots)
+	}
+	// Among endpoints with free slots the least loaded is preferred.
+	expected += time.Duration(e.Load.inFlight(now)) * service / time.Duration(loadTieBreak*slots)
 	if e.Suspect {
-		cost *= suspectFactor
+		expected += suspectCost
 	}
-	return cost
+	return expected
 }
+
+// loadTieBreak is the part of a service time that a fully loaded endpoint costs more than a free one.
+const loadTieBreak = 8
--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -2,15 +2,15 @@
 
 import "time"
 
-// latencyWeight is the weight of a new latency in the moving average.
-const latencyWeight = 0.2
+// serviceWeight is the weight of a new service time in the moving average.
+const serviceWeight = 0.1
 
 // Ejection of an endpoint that fails in a row.
 const (
 	failuresToEject = 3
 	ejectBase       = 500 * time.Millisecond
-	ejectMax        = 10 * time.Second
-	// hintLifetime is how long a reported queue length counts.
+	ejectMax        = 4 * time.Second
+	// hintLifetime is how long a reported load counts.
 	hintLifetime = time.Second
 )
 
@@ -18,31 +18,50 @@
 type Load struct {
 	// Outstanding counts calls of this node that have no answer yet. It is never negative.
 	Outstanding int
-	latency     float64
+	service     time.Duration
 	failures    int
 	ejectedFor  time.Duration
 	ejectedTill time.Time
-	hint        int
-	hintAt      time.Time
+	// hint is the load that the endpoint told, and sent counts the calls of this node since then.
+	hint   int
+	hintAt time.Time
+	sent   int
 }
 
 // Begin notes a call that was sent.
-func (l *Load) Begin() { l.Outstanding++ }
+func (l *Load) Begin() {
+	l.Outstanding++
+	l.sent++
+}
 
 // Cancel notes the end of a call that tells nothing about the endpoint.
 func (l *Load) Cancel() { l.Outstanding-- }
 
-// Succeed notes an answer.
+// Succeed notes an answer after some time.
 func (l *Load) Succeed(latency time.Duration) {
 	l.Outstanding--
 	l.failures = 0
 	l.ejectedFor = 0
-	seconds := latency.Seconds()
-	if l.latency == 0 {
-		l.latency = seconds
+	if l.hintAt.IsZero() {
+		// The latency stands for the service time until the endpoint tells it.
+		l.noteService(latency)
+	}
+}
+
+func (l *Load) noteService(service time.Duration) {
+	if l.service == 0 {
+		l.service = service
 		return
 	}
-	l.latency += latencyWeight * (seconds - l.latency)
+	l.service += time.Duration(serviceWeight * float64(service-l.service))
+}
+
+// ServiceTime is the time that the endpoint needs for a call once it has a slot.
+func (l *Load) ServiceTime() time.Duration {
+	if l.service == 0 {
+		return defaultServiceTime
+	}
+	return l.service
 }
 
 // Fail notes the end of a call by a lost or refused connection.
@@ -61,19 +80,26 @@
 	l.ejectedTill = now.Add(l.ejectedFor)
 }
 
-// Hint notes the calls that wait or run beside the upstream, as its node says.
-func (l *Load) Hint(inFlight int, now time.Time) {
+// Hint notes what the node beside the upstream tells: the calls that run or wait there, and the
+// time that the upstream needs for one, or 0 if that is not known.
+func (l *Load) Hint(inFlight int, service time.Duration, now time.Time) {
 	l.hint = inFlight
 	l.hintAt = now
+	l.sent = 0
+	if service > 0 {
+		l.service = service
+	}
 }
 
 // Ejected tells whether the endpoint is avoided for now.
 func (l *Load) Ejected(now time.Time) bool { return now.Before(l.ejectedTill) }
 
-// inFlight is the best guess of the calls at the endpoint.
+// inFlight is the best guess of the calls at the endpoint. What was told fades over its lifetime.
 func (l *Load) inFlight(now time.Time) int {
-	if now.Sub(l.hintAt) < hintLifetime {
-		return max(l.Outstanding, l.hint)
+	age := now.Sub(l.hintAt)
+	if age >= hintLifetime {
+		return l.Outstanding
 	}
-	return l.Outstanding
+	told := float64(l.hint) * float64(hintLifetime-age) / float64(hintLifetime)
+	return max(l.Outstanding, int(told+0.5)+l.sent)
 }
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -17,6 +17,9 @@
 	b.tokens = min(b.tokens+share, maxTokens)
 }
 
+// Holds tells whether there are tokens for a retry.
+func (b *Budget) Holds() bool { return b.tokens >= 1 }
+
 // Spend takes the tokens for one retry, or reports that there are none.
 func (b *Budget) Spend() bool {
 	if b.tokens < 1 {
--- a/internal/controller/appender.go
+++ b/internal/controller/appender.go
@@ -2,31 +2,33 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"google.golang.org/protobuf/proto"
 
-	"github.com/tamarackpitch/tamarackpitch/internal/logclient"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
 const (
 	appendQueue = 64
-	// appendTries bounds the tries of one record; its owner queues it again while it is still needed.
+	// appendTries bounds the tries of one job; its owner queues it again while it is still needed.
 	appendTries = 5
+	// maxAppendBackoff bounds the pause between two tries, so that a store that is back is used at once.
+	maxAppendBackoff = time.Second
 )
 
-// appendJob is one record on its way to the log.
+// appendJob is one write on its way to the log.
 type appendJob struct {
-	stream string
-	body   []byte
-	// what names the record in the logs; it is the id of a configuration record.
-	what string
+	// what names the job in the logs; it is the id of a configuration record.
+	what  string
+	write func(context.Context) error
+	// written is called on the control goroutine with the outcome, if it is not nil.
+	written func(error)
 }
 
-// appender writes records to the log, one after the other. A record is sent again with the
-// same id until the log answers, since a repeated record changes nothing.
+// appender writes to the log, one job after the other. A job is tried again until the log answers:
+// a repeated record changes nothing.
 type appender struct {
 	controller *Controller
 	jobs       chan appendJob
@@ -45,13 +47,10 @@
 	<-a.done
 }
 
-// queueRecord encodes and queues a configuration record. It reports false if the queue is full.
+// queueRecord queues a configuration record. It reports false if the queue is full.
 func (a *appender) queueRecord(what string, r *schema.Record) bool {
-	body, err := proto.Marshal(r)
-	if err != nil {
-		return false
-	}
-	return a.queue(appendJob{stream: logclient.ConfigStream, body: body, what: what})
+	log := a.controller.config.Log
+	return a.queue(appendJob{what: what, write: func(ctx context.Context) error { return log.Append(ctx, r) }})
 }
 
 func (a *appender) queue(j appendJob) bool {
@@ -71,7 +70,10 @@
 		case <-a.ctx.Done():
 			return
 		case j := <-a.jobs:
-			a.append(j)
+			err := a.append(j)
+			if j.written != nil {
+				a.controller.do(func() { j.written(err) })
+			}
 		}
 	}
 }
@@ -83,23 +85,25 @@
 	return seen
 }
 
-func (a *appender) append(j appendJob) {
+func (a *appender) append(j appendJob) error {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = 100 * time.Millisecond
+	pause.MaxInterval = maxAppendBackoff
+	var err error
 	for range appendTries {
-		_, err := a.controller.config.Log.Append(a.ctx, j.stream, j.body)
-		if err == nil {
-			a.controller.common.Logger.Debug("appended", "record", j.what)
-			return
+		err = j.write(a.ctx)
+		if err == nil || errors.Is(err, ErrFenced) {
+			return err
 		}
 		a.controller.common.Logger.Warn("append failed", "record", j.what, "reason", err)
 		if a.seen(j.what) {
-			return
+			return nil
 		}
 		select {
 		case <-a.ctx.Done():
-			return
+			return err
 		case <-time.After(pause.NextBackOff()):
 		}
 	}
+	return err
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,7 +14,6 @@
 
 	"github.com/tamarackpitch/tamarackpitch/internal/common"
 	"github.com/tamarackpitch/tamarackpitch/internal/gossiper"
-	"github.com/tamarackpitch/tamarackpitch/internal/logclient"
 	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
 	"github.com/tamarackpitch/tamarackpitch/internal/registrar"
 	"github.com/tamarackpitch/tamarackpitch/internal/router"
@@ -39,8 +38,10 @@
 
 // Config builds a Controller.
 type Config struct {
-	Common   *common.Common
-	Log      *logclient.Client
+	Common *common.Common
+	Log    ConfigLog
+	// Reduce applies the records of Log.
+	Reduce   ReduceFunc
 	Self     *schema.Member
 	Evidence EvidenceSource
 	Publish  func(*router.Snapshot)
@@ -70,13 +71,15 @@
 	// progress holds the merged progress of open rollouts by name.
 	progress map[string]*schema.Progress
 	trials   map[string]*trialState
-	crashes  map[uint64]*crashRecord
-	start    startState
-	duties   dutyState
-	wanted   wantedLinks
-	view     viewCache
-	random   *rand.Rand
-	leaving  bool
+	// heard holds when this node first heard of a rollout, by the version that declared it.
+	heard   map[uint64]time.Time
+	crashes map[uint64]*crashRecord
+	start   startState
+	duties  dutyState
+	wanted  wantedLinks
+	view    viewCache
+	random  *rand.Rand
+	leaving bool
 
 	nextHeartbeat  time.Time
 	nextRevival    time.Time
@@ -107,6 +110,7 @@
 		avoid:         map[string]time.Time{},
 		progress:      map[string]*schema.Progress{},
 		trials:        map[string]*trialState{},
+		heard:         map[uint64]time.Time{},
 		crashes:       map[uint64]*crashRecord{},
 		random:        rand.New(rand.NewPCG(c.Self.Incarnation, 1)),
 		snapshotLimit: rate.NewLimiter(snapshotsPerSecond, snapshotsPerSecond),
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -2,19 +2,19 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
-	"github.com/tamarackpitch/tamarackpitch/internal/logclient"
 	"github.com/tamarackpitch/tamarackpitch/internal/ranker"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
 const (
-	// joinRecordInterval is how often a log reader tells other nodes where to join, and looks
-	// for parts of the mesh that this one has lost or never met.
-	joinRecordInterval = 5 * time.Second
-	// reviveInterval is how often a node tries to reach a member that is held dead.
+	// rejoiners is how many nodes of a zone look for nodes that the mesh does not know.
+	rejoiners = 1
+	// reviveInterval is how often a node of a large mesh tries to reach a member that is held dead;
+	// in a small mesh it is done with every heartbeat.
 	reviveInterval = 10 * time.Second
 )
 
@@ -25,11 +25,13 @@
 		k.duties = k.chooseDuties()
 		k.duties.revision = r
 	}
-	if k.reader.active.Swap(k.duties.reads) != k.duties.reads {
-		k.record("log-reader", map[string]string{"active": strconv.FormatBool(k.duties.reads)})
+	// A node without links hears of changes in no other way.
+	reads := k.duties.reads || len(k.links) == 0
+	if k.reader.active.Swap(reads) != reads {
+		k.record("log-reader", map[string]string{"active": strconv.FormatBool(reads)})
 	}
-	if k.duties.reads {
-		k.announceJoin(time.Now())
+	if k.duties.rejoins {
+		k.rejoin(time.Now())
 	}
 	if k.duties.writesCheckpoints {
 		k.writeCheckpoint()
@@ -40,6 +42,7 @@
 type dutyState struct {
 	revision          uint64
 	reads             bool
+	rejoins           bool
 	writesCheckpoints bool
 }
 
@@ -54,17 +57,19 @@
 	}
 	return dutyState{
 		reads:             ranker.IsAmongFirst("log-reader/"+self.Zone, self.Node, k.common.Settings.Readers, zone),
-		writesCheckpoints: ranker.IsAmongFirst("checkpoint-writer", self.Node, 1, all),
+		rejoins:           ranker.IsAmongFirst("rejoiner/"+self.Zone, self.Node, rejoiners, zone),
+		writesCheckpoints: k.common.Settings.CheckpointEvery > 0 && ranker.IsAmongFirst("checkpoint-writer", self.Node, 1, all),
 	}
 }
 
-func (k *Controller) announceJoin(now time.Time) {
-	if now.Before(k.start.nextJoinRecord) || !k.start.ready {
+// rejoin announces this node again and looks in the log for nodes that this one does not know, so that
+// parts of the mesh that were separated, or never met, find each other.
+func (k *Controller) rejoin(now time.Time) {
+	if now.Before(k.start.nextRejoin) || !k.start.ready {
 		return
 	}
-	k.start.nextJoinRecord = now.Add(joinRecordInterval)
-	address := k.table.Self().ControlAddress
-	k.appender.queue(appendJob{stream: logclient.JoinStream, body: []byte(address), what: "join"})
+	k.start.nextRejoin = now.Add(k.common.Settings.RejoinInterval)
+	k.announceSelf()
 	go (&rejoiner{controller: k}).run()
 }
 
@@ -73,33 +78,34 @@
 	if now.Before(k.nextRevival) {
 		return
 	}
-	k.nextRevival = now.Add(reviveInterval)
+	if k.table.Len() > smallMesh {
+		k.nextRevival = now.Add(reviveInterval)
+	}
 	if dead := k.table.Dead(); len(dead) > 0 {
 		k.dial(dead[k.random.IntN(len(dead))].ControlAddress, now)
 	}
 }
 
-// rejoiner looks in the log for nodes that this one does not know, so that parts of the mesh that
-// were separated, or never met, find each other.
+// rejoiner looks once for nodes that this one does not know.
 type rejoiner struct {
 	controller *Controller
 }
 
-// run looks once.
+// run reads what the log tells a starting node.
 func (r *rejoiner) run() {
 	k := r.controller
-	j := &joiner{controller: k}
-	addresses := j.readJoinRecords(context.Background())
+	b, err := k.config.Log.Begin(context.Background())
+	if err != nil {
+		k.common.Logger.Debug("log not reached", "reason", err)
+		return
+	}
 	k.do(func() {
 		known := map[string]bool{}
 		for _, m := range k.table.Usable() {
 			known[m.ControlAddress] = true
 		}
-		for _, a := range addresses {
-			if !known[a] {
-				k.dial(a, time.Now())
-			}
-		}
+		unknown := slices.DeleteFunc(b.Members, func(m *schema.Member) bool { return known[m.ControlAddress] })
+		k.dialSome(unknown, time.Now())
 	})
 }
 
--- a/internal/controller/error.go
+++ b/internal/controller/error.go
@@ -9,6 +9,7 @@
 const (
 	KindInvalid Kind = "invalid"
 	KindClosed  Kind = "closed"
+	KindFenced  Kind = "fenced"
 )
 
 // Error reports a request that the control goroutine refused.
--- a/internal/controller/loadmodel.go
+++ b/internal/controller/loadmodel.go
@@ -31,6 +31,7 @@
 	k.avoid = map[string]time.Time{}
 	k.common = &common.Common{Logger: logger, Checker: checker.New(checker.Config{Logger: logger}), Recorder: recorder.New("model", time.Now)}
 	k.config.Publish = func(*router.Snapshot) {}
+	k.config.Reduce = reducer.Apply
 	k.digest = state.Digest()
 	return &LoadModel{controller: k}
 }
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -39,15 +39,17 @@
 	}
 	k.digest = k.state.Digest()
 	k.publishHello()
-	f := k.frame()
-	f.Records = fresh
-	k.broadcast(f, from)
+	if k.common.Settings.FloodRecords {
+		f := k.frame()
+		f.Records = fresh
+		k.broadcast(f, from)
+	}
 	return gap
 }
 
 func (k *Controller) applyRecord(r *schema.LogRecord) {
 	before := k.state
-	next, err := reducer.Apply(before, r)
+	next, err := k.config.Reduce(before, r)
 	k.common.Checker.Assert(next.Version >= before.Version && next.Position > before.Position,
 		checker.VersionMonotonic, "version %d after %d", next.Version, before.Version)
 	if err != nil {
@@ -71,13 +73,14 @@
 func (k *Controller) setState(next *reducer.State) {
 	before := k.state
 	k.state = next
-	if next.Version == before.Version {
+	k.hearRollouts(time.Now())
+	if next.Version == before.Version && len(next.Rollouts) == len(before.Rollouts) && !next.HasOpenVersions() {
 		return
 	}
 	k.view.dirtyAll = true
 	k.noteOutcomes(before, next)
 	version := strconv.FormatUint(next.Version, 10)
-	k.common.Logger.Info("configuration in force", "version", next.Version, "preset", next.ActivePreset)
+	k.common.Logger.Info("configuration in force", "version", next.Version, "label", next.Label, "position", next.Position, "routes", len(next.Routes))
 	k.record("configuration-in-force", map[string]string{"version": version, "preset": next.ActivePreset})
 }
 
--- a/internal/controller/reporter.go
+++ b/internal/controller/reporter.go
@@ -82,7 +82,7 @@
 		return
 	}
 	service := view.Services[view.Local.Service]
-	if service == nil || service.Rollout == nil || r.unsent[service.Rollout.Name] != nil {
+	if service == nil || service.Rollout == nil || service.Rollout.Decided || r.unsent[service.Rollout.Name] != nil {
 		return
 	}
 	r.unsent[service.Rollout.Name] = &schema.Report{Rollout: service.Rollout.Name, DeclaredVersion: service.Rollout.DeclaredVersion}
--- a/internal/controller/start.go
+++ b/internal/controller/start.go
@@ -5,28 +5,26 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/tamarackpitch/tamarackpitch/internal/logclient"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
 const (
 	// peersToTrust is the number of peers whose positions stand in for the log while it is down.
 	peersToTrust = 3
 	// logGrace is how long a starting node waits for the log before peers alone will do.
-	logGrace = 2 * time.Second
-	// joinRecords is the number of join records that a starting node looks at.
-	joinRecords = 64
-	joinRetry   = time.Second
+	logGrace  = 2 * time.Second
+	joinRetry = time.Second
 )
 
 // startState tells when a starting node may take calls: not before it has reached the
 // newest position that the log, or several peers, have told it of.
 type startState struct {
-	since          time.Time
-	ready          bool
-	logHeard       bool
-	target         uint64
-	peers          map[string]bool
-	nextJoinRecord time.Time
+	since      time.Time
+	ready      bool
+	logHeard   bool
+	target     uint64
+	peers      map[string]bool
+	nextRejoin time.Time
 }
 
 func newStartState(now time.Time) startState {
@@ -104,45 +102,46 @@
 
 func (j *joiner) askLog() {
 	k := j.controller
-	ctx := context.Background()
-	_, next, err := k.config.Log.Bounds(ctx, logclient.ConfigStream)
+	b, err := k.config.Log.Begin(context.Background())
 	if err != nil {
+		k.common.Logger.Warn("log not reached", "reason", err)
 		return
 	}
-	addresses := j.readJoinRecords(ctx)
-	k.do(func() {
-		k.start.hearLog(next)
-		if len(k.links) > 0 {
-			return
-		}
-		for _, a := range addresses {
-			k.dial(a, time.Now())
-		}
-	})
+	k.do(func() { k.begin(b, time.Now()) })
 }
 
-func (j *joiner) readJoinRecords(ctx context.Context) []string {
-	const fewPeers = 4
-	first, next, err := j.controller.config.Log.Bounds(ctx, logclient.JoinStream)
-	if err != nil || next == first {
-		return nil
+// begin takes in what the log tells a starting node.
+func (k *Controller) begin(b Beginning, now time.Time) {
+	k.start.hearLog(b.Next)
+	if b.State != nil {
+		k.adoptSnapshot(&schema.Snapshot{State: b.State}, now)
 	}
-	if next-first > joinRecords {
-		first = next - joinRecords
+	for _, p := range b.Progress {
+		k.mergeProgress(p, nil)
 	}
-	page, err := j.controller.config.Log.Read(ctx, logclient.JoinStream, first, 0)
-	if err != nil {
-		return nil
+	for _, m := range b.Members {
+		if m.Node == k.table.Self().Node {
+			k.lease.recall(m)
+		}
 	}
-	unique := map[string]bool{}
-	for _, r := range page.Records {
-		unique[string(r.Body)] = true
+	k.announceSelf()
+	if len(k.links) == 0 {
+		k.dialSome(b.Members, now)
 	}
-	var addresses []string
-	for a := range unique {
-		if own := j.controller.common.Settings.ControlListen; a != own && len(addresses) < fewPeers {
-			addresses = append(addresses, a)
+}
+
+// dialSome dials a few of the members that the log names.
+func (k *Controller) dialSome(members []*schema.Member, now time.Time) {
+	const few = 4
+	dialled := 0
+	for _, i := range k.random.Perm(len(members)) {
+		m := members[i]
+		if m.ControlAddress == k.common.Settings.ControlListen || k.isLinked(m.Node) {
+			continue
+		}
+		k.dial(m.ControlAddress, now)
+		if dialled++; dialled == few {
+			return
 		}
 	}
-	return addresses
 }
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -88,24 +88,26 @@
 	next := *last
 	next.Reason = k.start.reason(k.state.Position, k.table.Len(), now)
 	next.Ready = k.start.ready
+	next.Configured = k.state.Version > 0
 	next.Leaving = k.leaving
 	next.Members = k.table.Len()
-	next.Local = k.lease.local(k.state.DrainedNodes[next.Node] || k.leaving)
+	next.Local = k.lease.local(k.state.DrainedNodes[next.Node], k.connectionLimit())
 	next.Refused = k.refusedRequests()
 	view := &next
 	if k.view.dirtyAll {
 		view.Version = k.state.Version
 		view.Position = k.state.Position
+		view.Limits = k.state.Limits
 		view = view.WithRoutes(k.state.SortedRoutes()).WithPreset(k.state.Preset())
 		view.Services = make(map[string]*router.Service, len(k.state.Services))
 		for name := range k.state.Services {
-			view.Services[name] = k.buildService(name, now)
+			view.Services[name] = k.buildService(name)
 		}
 	} else if len(k.view.dirty) > 0 {
 		view.Services = maps.Clone(last.Services)
 		for name := range k.view.dirty {
 			if _, ok := k.state.Services[name]; ok {
-				view.Services[name] = k.buildService(name, now)
+				view.Services[name] = k.buildService(name)
 			}
 		}
 	}
@@ -123,30 +125,53 @@
 	if !k.view.dirtyAll {
 		return
 	}
-	for route, service := range view.RouteNames() {
+	for service := range view.RouteServices() {
 		_, ok := view.Services[service]
-		k.common.Checker.Assert(ok, checker.RouteResolved, "route %s without service %s", route, service)
+		k.common.Checker.Assert(ok, checker.RouteResolved, "route to the missing service %s", service)
 	}
 }
 
-func (k *Controller) buildService(name string, now time.Time) *router.Service {
+func (k *Controller) buildService(name string) *router.Service {
 	declared := k.state.Services[name]
-	s := &router.Service{Name: name, Stable: declared.StableVersion, Versions: map[string][]*balancer.Endpoint{}}
-	if r := k.state.OpenRollout(name); r != nil {
-		s.Rollout = &router.Rollout{Name: r.Name, DeclaredVersion: r.DeclaredVersion, From: r.From, To: r.To, Share: k.share(r)}
+	s := &router.Service{Name: name}
+	if r := k.activeRollout(name); r != nil {
+		s.Rollout = &router.Rollout{Name: r.Name, DeclaredVersion: r.DeclaredVersion, From: r.From, To: r.To, Share: k.share(r),
+			Decided: isDecided(k.progress[r.Name])}
 	}
 	members := k.view.members[name]
 	for _, node := range slices.Sorted(maps.Keys(members)) {
 		m := members[node]
 		e := k.endpoint(m)
 		s.Owners = append(s.Owners, e)
-		if !m.Draining && !k.state.DrainedNodes[node] {
-			s.Versions[m.Version] = append(s.Versions[m.Version], e)
+		if m.Draining || k.state.DrainedNodes[node] {
+			continue
+		}
+		switch {
+		case s.Rollout != nil && m.Version == s.Rollout.To:
+			s.Trial = append(s.Trial, e)
+		case declared.OpenVersions, s.Rollout != nil && m.Version == s.Rollout.From, m.Version == declared.StableVersion:
+			s.Endpoints = append(s.Endpoints, e)
 		}
 	}
 	return s
 }
 
+// activeRollout returns the rollout that divides the traffic of a service, or nil. Where versions are not
+// declared, an outcome stays in force until the next rollout, since upstreams of both versions may be left.
+func (k *Controller) activeRollout(service string) *schema.Rollout {
+	if k.state.Services[service].GetOpenVersions() {
+		return k.state.Rollouts[service]
+	}
+	return k.state.OpenRollout(service)
+}
+
+// connectionLimit returns the most connections to the upstream beside this node, or 0 if the
+// configuration says nothing.
+func (k *Controller) connectionLimit() int {
+	s := k.state.Services[k.lease.announcement.Service]
+	return int(s.GetMaxConnections())
+}
+
 func (k *Controller) endpoint(m *schema.Member) *balancer.Endpoint {
 	return &balancer.Endpoint{
 		Node: m.Node, Incarnation: m.Incarnation, Zone: m.Zone, Service: m.Service, Version: m.Version,
@@ -161,8 +186,11 @@
 	if p == nil {
 		return roller.ShareAt(k.state.Preset(), 0)
 	}
-	if p.RolledBack {
+	switch {
+	case p.RolledBack:
 		return 0
+	case p.Completed:
+		return 1
 	}
 	return roller.ShareAt(k.state.Preset(), int(p.Step))
 }
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,8 +76,8 @@
 		writeField(b, headerConnection, "keep-alive")
 	}
 	if x.caller.fromPeer {
-		load := x.forwarder.admitter.InFlight() + x.forwarder.admitter.Queued()
-		writeField(b, headerLoad, strconv.Itoa(load))
+		load, service := x.forwarder.localLoad()
+		writeField(b, headerLoad, fmt.Sprintf("%d %.1f", load, service.Seconds()*1000))
 	}
 	b.WriteString("\r\n")
 }
@@ -116,6 +117,9 @@
 
 // writeEnd completes the answer.
 func (x *exchange) writeEnd(outcome string) {
+	if x.held != nil {
+		x.releaseWhole()
+	}
 	if x.chunkedOut && x.caller != nil {
 		x.caller.conn.write([]byte(lastChunk))
 	}
@@ -128,6 +132,7 @@
 		return
 	}
 	x.dropAttempts()
+	x.held = nil
 	f := x.forwarder
 	if run == runNo {
 		f.common.Checker.Assert(x.runs == 0 || x.idempotent, checker.NotRunTrue, "call %x refused as not run after %d runs", x.id, x.runs)
@@ -142,6 +147,9 @@
 		{key: headerRun, value: run},
 		{key: headerRefusal, value: reason},
 	}}
+	if after, ok := x.retryAfter(status); ok {
+		m.header = append(m.header, field{key: headerRetryAfter, value: after})
+	}
 	x.writeHead(m, true)
 	x.capture = nil
 	x.writeBody([]byte(text))
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -56,11 +57,22 @@
 	parked bool
 	// swallowed is an answer that is read but not forwarded.
 	swallowed *message
-	ended     bool
+	// verdict tells what the answer of the local upstream means.
+	verdict answerVerdict
+	ended   bool
 }
 
 func (a *attempt) local() bool { return a.endpoint == nil }
 
+// requestID returns what the caller calls the request, or an empty text.
+func (a *attempt) requestID() string {
+	d := a.exchange.forwarder.config.Dialect
+	if d.RequestID == "" {
+		return ""
+	}
+	return a.exchange.request.message.get(d.RequestID)
+}
+
 // connected sends the request over a connection.
 func (a *attempt) connected(c *clientConn) {
 	x := a.exchange
@@ -109,6 +121,7 @@
 	x := a.exchange
 	a.sent = true
 	x.runs++
+	x.arrivals++
 	x.forwarder.common.Checker.Assert(x.idempotent || x.runs == 1, checker.AtMostOnce, "call %x sent %d times", x.id, x.runs)
 }
 
@@ -121,6 +134,10 @@
 	a.takenBack = true
 	x := a.exchange
 	x.runs--
+	if !a.local() {
+		// The node has refused the call before its upstream saw it, unless it says otherwise.
+		x.arrivals--
+	}
 	x.forwarder.common.Checker.Assert(x.runs >= 0, checker.AtMostOnce, "call %x taken back more often than sent", x.id)
 }
 
@@ -134,27 +151,57 @@
 		return b.Bytes()
 	}
 	b.WriteString(m.method + " " + m.uri + " HTTP/1.1\r\n")
-	writeFields(&b, m.forwarded())
+	d := x.forwarder.config.Dialect
+	writeFields(&b, m.forwarded(d.internal()...))
 	if m.length > 0 || m.length < 0 || m.hasLength {
 		writeLength(&b, m.length, m.length < 0)
 	}
-	writeField(&b, headerDeadline, strconv.FormatInt(x.deadline.UnixMilli(), 10))
-	if !a.local() {
+	if d.CallerService != "" {
+		writeField(&b, d.CallerService, x.callerService())
+	}
+	if a.local() {
+		a.writeUpstreamFields(&b, d)
+	} else {
 		a.writeInternal(&b)
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
 
+// writeUpstreamFields writes the header lines for the upstream.
+func (a *attempt) writeUpstreamFields(b *bytes.Buffer, d Dialect) {
+	left := max(time.Until(a.exchange.deadline).Milliseconds(), 1)
+	writeField(b, d.TimeLeft, strconv.FormatInt(left, 10))
+	if l := a.exchange.forwarder.local.upstream; d.ExpectInstance != "" && l != nil && l.Instance != "" {
+		writeField(b, d.ExpectInstance, l.Instance)
+	}
+}
+
+// writeTime writes how much time is left, and when this was so.
+func (a *attempt) writeTime(b *bytes.Buffer) {
+	x := a.exchange
+	now := time.Now()
+	writeField(b, headerTimeLeft, strconv.FormatInt(max(x.deadline.Sub(now).Milliseconds(), 0), 10))
+	writeField(b, headerSentAt, strconv.FormatInt(now.Sub(processStart).Milliseconds(), 10))
+	writeField(b, headerSender, x.forwarder.sender)
+}
+
 // writeInternal writes the header lines that the other node needs.
 func (a *attempt) writeInternal(b *bytes.Buffer) {
 	x := a.exchange
+	a.writeTime(b)
 	writeField(b, headerOperation, a.operation)
 	writeField(b, headerID, strconv.FormatUint(a.id, 16))
 	writeField(b, headerRoute, x.route.Name)
-	writeField(b, headerService, x.route.Service)
+	writeField(b, headerService, x.service)
 	writeField(b, headerVersion, a.endpoint.Version)
 	writeField(b, headerFingerprint, strconv.FormatUint(x.fingerprint, 16))
+	if !x.mayWait {
+		writeField(b, headerWait, waitNo)
+	}
+	if left := time.Until(x.aimAt).Milliseconds(); left > 0 {
+		writeField(b, headerAimLeft, strconv.FormatInt(left, 10))
+	}
 }
 
 // writeQuestion writes a request of the node itself, which has no body.
@@ -163,8 +210,8 @@
 	b.WriteString("POST /" + a.operation + " HTTP/1.1\r\nHost: " + a.endpoint.Node + "\r\n")
 	writeField(b, headerOperation, a.operation)
 	writeField(b, headerID, strconv.FormatUint(a.id, 16))
-	writeField(b, headerDeadline, strconv.FormatInt(x.deadline.UnixMilli(), 10))
-	writeField(b, headerService, x.route.Service)
+	a.writeTime(b)
+	writeField(b, headerService, x.service)
 	if a.kind == kindReserve {
 		writeField(b, headerIdempotencyKey, x.key)
 		writeField(b, headerOwner, x.view.Node)
@@ -211,17 +258,32 @@
 	}
 }
 
+// takeHint notes the load that a node tells with its answers.
+func (a *attempt) takeHint(m *message) {
+	var load int
+	var serviceMs float64
+	if _, err := fmt.Sscanf(m.get(headerLoad), "%d %f", &load, &serviceMs); err == nil && load >= 0 && serviceMs >= 0 {
+		a.endpoint.Load.Hint(load, time.Duration(serviceMs*float64(time.Millisecond)), time.Now())
+	}
+}
+
+// isForeign tells whether the answer of the local upstream belongs to another request.
+func (a *attempt) isForeign(m *message) bool {
+	return a.kind == kindCall && a.local() && a.exchange.forwarder.config.Dialect.judge(m, a.requestID()) == answerForeign
+}
+
 func (a *attempt) answerHead(m *message) {
 	if a.ended {
 		return
 	}
 	a.headSeen = true
 	a.answer = m
+	if a.local() {
+		a.verdict = a.exchange.forwarder.config.Dialect.judge(m, a.requestID())
+	}
 	a.latency = time.Since(a.began)
 	if a.endpoint != nil {
-		if load, err := strconv.Atoi(m.get(headerLoad)); err == nil {
-			a.endpoint.Load.Hint(load, time.Now())
-		}
+		a.takeHint(m)
 	}
 	a.exchange.answerHead(a, m)
 }
@@ -232,6 +294,9 @@
 		return
 	}
 	x.lastByte = time.Now()
+	if x.held != nil && x.hold(data) {
+		return
+	}
 	if x.writeBody(data) {
 		a.conn.conn.pause()
 	}
--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -13,6 +13,8 @@
 	// reused tells that the connection has carried another call before.
 	reused bool
 	answer *message
+	// skipped tells that a late answer to an earlier request has been passed over.
+	skipped bool
 }
 
 func (c *clientConn) isHead() bool {
@@ -31,11 +33,25 @@
 		c.answer = nil
 		return nil
 	}
+	if c.attempt.isForeign(m) {
+		return c.skip(m)
+	}
 	c.answer = m
 	c.attempt.answerHead(m)
 	return nil
 }
 
+// skip passes over an answer to an earlier request. The one that was asked for follows it, unless
+// the end of the late one can't be told.
+func (c *clientConn) skip(m *message) error {
+	if c.skipped || m.length < 0 && !m.chunked {
+		return &Error{Operation: "read", Kind: KindMalformed, Detail: "answer to another request"}
+	}
+	c.skipped = true
+	c.answer = nil
+	return nil
+}
+
 func (c *clientConn) onBody(data []byte) error {
 	if c.attempt != nil && c.answer != nil {
 		c.attempt.answerBody(data)
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
@@ -38,10 +38,12 @@
 	reader    *reader
 	owner     owner
 	closed    bool
-	// paused tells that the read event is not armed, so that the peer is held back.
+	// endedInOrder tells that the peer has closed the connection without a reset.
+	endedInOrder bool
+	// paused tells that nothing is read, so that the peer is held back.
 	paused bool
-	// rearming tells that rearm is due.
-	rearming bool
+	// unread tells that input may have come during a pause.
+	unread bool
 	// pending is the output not yet taken by the kernel, in bytes.
 	pending atomic.Int64
 	// above tells that pending was above highWater and onDrained is due.
@@ -123,20 +125,31 @@
 
 func (n *conn) pause() { n.paused = true }
 
+// resume goes on reading after a pause. Events are edge-triggered, so that input which came during
+// the pause is read now.
 func (n *conn) resume() {
 	if !n.paused || n.closed {
 		return
 	}
 	n.paused = false
-	n.c.ResetPollerEvent()
+	if n.unread {
+		n.forwarder.engine.Async(n.readAgain)
+	}
+}
+
+func (n *conn) readAgain() {
+	n.forwarder.mu.Lock()
+	defer n.forwarder.mu.Unlock()
+	n.read()
 }
 
-// read is called by the engine when the connection is readable. The event stays off until it is reset.
+// read is called when the connection has become readable. It reads until nothing is left or a pause.
 func (n *conn) read() {
 	buffer := n.forwarder.buffer
+	n.unread = false
 	for !n.closed {
 		if n.paused && !n.peerFinished() {
-			n.keepWriting()
+			n.unread = true
 			return
 		}
 		count, err := n.c.Read(buffer)
@@ -144,9 +157,10 @@
 			continue
 		}
 		if errors.Is(err, syscall.EAGAIN) {
-			break
+			return
 		}
 		if err != nil || count <= 0 {
+			n.endedInOrder = err == nil || errors.Is(err, io.EOF)
 			n.closeWith(err)
 			return
 		}
@@ -155,34 +169,6 @@
 			n.closeWith(err)
 			return
 		}
-		if count < len(buffer) && !n.paused {
-			break
-		}
-	}
-	if !n.closed && !n.paused {
-		n.c.ResetPollerEvent()
-	}
-}
-
-// rearmDelay paces the looks at a connection that is held back for reading and has output to write.
-const rearmDelay = time.Millisecond
-
-// keepWriting sets the event again later for the sake of the output: it can't be set for
-// writing alone, and set at once it would come again and again for the input.
-func (n *conn) keepWriting() {
-	if n.rearming || n.pending.Load() == 0 {
-		return
-	}
-	n.rearming = true
-	time.AfterFunc(rearmDelay, n.rearm)
-}
-
-func (n *conn) rearm() {
-	n.forwarder.mu.Lock()
-	defer n.forwarder.mu.Unlock()
-	n.rearming = false
-	if !n.closed && n.paused {
-		n.c.ResetPollerEvent()
 	}
 }
 
@@ -228,7 +214,7 @@
 	if err == nil {
 		err = &Error{Operation: "read", Kind: KindCut, Detail: "connection closed by peer"}
 	}
-	if n.reader.finish() {
+	if n.reader.finish(n.endedInOrder) {
 		n.owner.onClose(nil)
 		return
 	}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
-	"github.com/tamarackpitch/tamarackpitch/internal/budgeter"
 	"github.com/tamarackpitch/tamarackpitch/internal/router"
-	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
 // routes tells whether this node chooses the upstream, rather than the node that sent the call.
@@ -15,14 +13,10 @@
 	return x.operation == "" || x.operation == operationOwn
 }
 
-// replayable tells whether the request can be sent once more.
-func (x *exchange) replayable() bool {
-	return x.request.complete && !x.request.streamed
-}
-
-// dispatch chooses an upstream and sends the call on its way.
+// dispatch chooses an upstream and sends the call on its way. A node is asked for a free slot first, and
+// once it has none, for a place in its queue.
 func (x *exchange) dispatch() {
-	service := x.view.Services[x.route.Service]
+	service := x.view.Services[x.service]
 	if service == nil {
 		x.refuse(503, "no-service", runNo)
 		return
@@ -30,13 +24,15 @@
 	x.tries++
 	e := x.choose(service)
 	if e == nil {
-		x.refuse(503, cmp.Or(x.lastRefusal, "no-upstream"), runNo)
+		x.refuseNotRun(cmp.Or(x.lastRefusal, "no-upstream"))
 		return
 	}
 	if x.tried == nil {
 		x.tried = map[string]bool{}
 	}
 	x.tried[e.Node] = true
+	x.lastNode = e.Node
+	x.mayWait = x.busy[e.Node]
 	x.version = e.Version
 	if e.Node == x.view.Node {
 		x.enterLocal()
@@ -45,62 +41,57 @@
 	x.sendPeer(e, operationCall)
 }
 
+// noteBusy lets a node be chosen again that had no free slot, then for its queue.
+func (x *exchange) noteBusy(node string) {
+	if x.busy == nil {
+		x.busy = map[string]bool{}
+	}
+	x.busy[node] = true
+	delete(x.tried, node)
+}
+
 // choose returns an endpoint that has not been tried yet, or nil.
 func (x *exchange) choose(s *router.Service) *balancer.Endpoint {
 	f := x.forwarder
 	now := time.Now()
-	skip := func(e *balancer.Endpoint) bool { return x.tried[e.Node] }
-	version := f.chooseVersion(s, x.tries)
-	if e := f.balancer.Choose(s.Versions[version], skip, now); e != nil {
-		return e
+	call := balancer.Call{Skip: func(e *balancer.Endpoint) bool { return x.tried[e.Node] }, ZoneCost: f.zoneCost(x.route)}
+	onTrial := f.choosesTrial(s, x.tries)
+	endpoints, others := s.Endpoints, s.Trial
+	if onTrial {
+		endpoints, others = others, endpoints
+	}
+	f.hintOwnLoad(endpoints, now)
+	if c := f.balancer.Choose(endpoints, call, now); c.Endpoint != nil || !onTrial {
+		return c.Endpoint
 	}
-	if r := s.Rollout; r != nil && version == r.To {
-		return f.balancer.Choose(s.Versions[r.From], skip, now)
+	return f.balancer.Choose(others, call, now).Endpoint
+}
+
+// hintOwnLoad lets the choice see the load of this node's own upstream.
+func (f *Forwarder) hintOwnLoad(endpoints []*balancer.Endpoint, now time.Time) {
+	node := f.common.Settings.Name
+	for _, e := range endpoints {
+		if e.Node == node {
+			load, service := f.localLoad()
+			e.Load.Hint(load, service, now)
+			return
+		}
 	}
-	return nil
 }
 
-// chooseVersion spreads the first tries over the versions by the rollout's share.
+// choosesTrial spreads the first tries over the versions by the rollout's share.
 // Retries go to the old version while it takes traffic.
-func (f *Forwarder) chooseVersion(s *router.Service, try int) string {
+func (f *Forwarder) choosesTrial(s *router.Service, try int) bool {
 	r := s.Rollout
 	switch {
 	case r == nil:
-		return s.Stable
+		return false
 	case r.Share >= 1:
-		return r.To
+		return true
 	case r.Share <= 0 || try > 1:
-		return r.From
-	}
-	sum, ok := f.shares[r.Name]
-	if !ok {
-		sum = f.random.Float64()
-	}
-	sum += r.Share
-	version := r.From
-	if sum >= 1 {
-		sum--
-		version = r.To
-	}
-	f.shares[r.Name] = sum
-	return version
-}
-
-// budget returns the retry budget of a route's service and class, so that a class does not
-// use up the retries of a higher one.
-func (f *Forwarder) budget(r *schema.Route) *budgeter.Budget {
-	key := budgetKey{service: r.Service, class: r.Class}
-	b, ok := f.budgets[key]
-	if !ok {
-		b = budgeter.New()
-		f.budgets[key] = b
+		return false
 	}
-	return b
-}
-
-type budgetKey struct {
-	service string
-	class   string
+	return f.sampler("rollout/"+r.Name, versionStep).next() < r.Share
 }
 
 // sendPeer sends the call to the node beside the chosen upstream.
@@ -115,46 +106,6 @@
 	}
 }
 
-// retryNotRun tries another upstream after a refusal that is known not to have run.
-func (x *exchange) retryNotRun(reason string) {
-	x.lastRefusal = reason
-	x.dropAttempts()
-	if x.awaitsOwner() {
-		x.tryNextOwner()
-		return
-	}
-	if x.mayRetry() {
-		x.dispatch()
-		return
-	}
-	run := runNo
-	if x.runs > 0 {
-		run = runUnknown
-	}
-	x.refuse(503, reason, run)
-}
-
-// retryUnknown tries another upstream after an attempt that may have run.
-func (x *exchange) retryUnknown(reason string) {
-	x.dropAttempts()
-	if x.idempotent && x.runs < maxRuns && x.mayRetry() {
-		x.dispatch()
-		return
-	}
-	x.refuse(502, reason, runUnknown)
-}
-
-func (x *exchange) mayRetry() bool {
-	if !x.routes() || x.caller == nil || x.tries >= maxTries || !x.replayable() || !time.Now().Before(x.deadline) {
-		return false
-	}
-	if !x.forwarder.budget(x.route).Spend() {
-		return false
-	}
-	x.forwarder.stats.Retries.Add(1)
-	return true
-}
-
 // answerHead takes the head of an attempt's answer.
 func (x *exchange) answerHead(a *attempt, m *message) {
 	switch a.kind {
@@ -165,27 +116,43 @@
 		x.reserveHead(a, m)
 		return
 	}
-	if !a.local() && x.swallows(a, m) {
+	if x.swallows(a, m) {
 		a.swallowed = m
 		return
 	}
 	x.dropClaim()
+	if x.holds(m) {
+		x.held = &heldAnswer{message: m, fromPeer: !a.local()}
+		return
+	}
 	x.writeHead(m, !a.local())
 }
 
-// swallows tells whether a node's refusal leads to another try instead of an answer.
+// swallows tells whether an answer leads to another try, or to a refusal, instead of going to the caller.
 func (x *exchange) swallows(a *attempt, m *message) bool {
+	if a.local() {
+		return a.verdict != answerGood || x.prefersRetry(m)
+	}
 	switch m.get(headerRun) {
 	case runNo:
 		a.unsend()
+		if m.get(headerRefusal) == reasonUpstreamRefused {
+			x.arrivals++
+		}
 		if a.operation == operationOwn {
 			return false
 		}
-		return x.routes() && x.replayable() && x.tries < maxTries && m.status == 503
+		return x.routes() && x.replayable() && m.status == 503
 	case runUnknown:
-		return x.idempotent && x.replayable() && x.runs < maxRuns && x.tries < maxTries
+		return x.idempotent && x.mayTryAgain()
 	}
-	return false
+	return x.prefersRetry(m)
+}
+
+// prefersRetry tells whether a failure that the upstream itself answered is worth another try.
+func (x *exchange) prefersRetry(m *message) bool {
+	return m.status == 500 && x.idempotent && x.forwarder.config.Dialect.Seal != "" && x.mayTryAgain() &&
+		x.forwarder.budget(x.service, x.route.Class).Holds()
 }
 
 // answerEnd is called when an attempt's answer has been read whole.
@@ -204,25 +171,43 @@
 		x.reserveEnd(a)
 		return
 	}
-	outcome := ""
 	if a.local() {
 		x.forwarder.local.lastAnswer = now
+		x.forwarder.admitter.NoteService(now.Sub(a.began))
 		x.forwarder.countOutcome(x, a)
-	} else {
-		outcome = a.answer.get(headerRun)
-		a.settleLoad(now, outcome)
-	}
-	if m := a.swallowed; m != nil {
-		a.finish()
-		if outcome == runNo {
-			x.retryNotRun(m.get(headerRefusal))
-			return
-		}
-		x.retryUnknown(m.get(headerRefusal))
+		x.localAnswerEnd(a)
 		return
 	}
-	x.writeEnd(outcome)
+	outcome := a.answer.get(headerRun)
+	a.settleLoad(now, outcome)
 	a.finish()
+	switch {
+	case a.swallowed == nil:
+		x.writeEnd(outcome)
+	case outcome == runNo:
+		x.retryNotRun(a.swallowed.get(headerRefusal))
+	case outcome == runUnknown:
+		x.retryUnknown(a.swallowed.get(headerRefusal))
+	default:
+		x.retryUnknown("upstream-failed")
+	}
+}
+
+// localAnswerEnd goes on after a whole answer of the upstream beside this node.
+func (x *exchange) localAnswerEnd(a *attempt) {
+	a.finish()
+	switch {
+	case a.swallowed == nil:
+		x.writeEnd("")
+	case a.verdict == answerNotRun:
+		x.forwarder.noteRefused(a)
+		a.unsend()
+		x.retryNotRun(reasonUpstreamRefused)
+	case a.verdict == answerBad:
+		x.retryUnknown("upstream-garbled")
+	default:
+		x.retryUnknown("upstream-failed")
+	}
 }
 
 // settleLoad notes what an answer tells about the endpoint.
@@ -243,6 +228,7 @@
 	if x.attempt == a {
 		x.attempt = nil
 	}
+	x.held = nil
 	switch a.kind {
 	case kindClaim:
 		a.finish()
@@ -263,7 +249,7 @@
 	case x.ended:
 	case x.headSent:
 		x.cut()
-	case a.swallowed != nil && a.swallowed.get(headerRun) == runNo:
+	case a.swallowed != nil && a.swallowed.get(headerRun) == runNo && !a.local():
 		x.retryNotRun(a.swallowed.get(headerRefusal))
 	case !a.sent:
 		x.notSent(a)
@@ -282,5 +268,8 @@
 		x.tryNextOwner()
 		return
 	}
+	if a.local() {
+		x.forwarder.noteUnreachable()
+	}
 	x.retryNotRun("connect")
 }
--- a/internal/forwarder/evidence.go
+++ b/internal/forwarder/evidence.go
@@ -26,8 +26,8 @@
 // evidenceFor returns the count of a call, or nil if its service has no open rollout.
 func (f *Forwarder) evidenceFor(x *exchange) *evidenceCount {
 	l := f.local.upstream
-	service := f.view.Load().Services[x.route.Service]
-	if l == nil || service == nil || service.Rollout == nil {
+	service := f.view.Load().Services[x.service]
+	if l == nil || service == nil || service.Rollout == nil || service.Rollout.Decided {
 		return nil
 	}
 	key := evidenceKey{rollout: service.Rollout.Name, declaredVersion: service.Rollout.DeclaredVersion,
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -7,13 +7,6 @@
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
-const (
-	// maxTries bounds the attempts of one call.
-	maxTries = 3
-	// maxRuns bounds the upstreams that may have run one idempotent call.
-	maxRuns = 2
-)
-
 // request is a call's request as far as it has been read.
 type request struct {
 	message *message
@@ -32,8 +25,10 @@
 	caller  *serverConn
 	request request
 
-	view        *router.Snapshot
-	route       *schema.Route
+	view  *router.Snapshot
+	route *schema.Route
+	// service takes the call; it is one of the route's.
+	service     string
 	operation   string
 	id          uint64
 	key         string
@@ -43,7 +38,13 @@
 	idempotent  bool
 	startedAt   time.Time
 	deadline    time.Time
-	timer       *time.Timer
+	// aimAt is when an answer becomes late for the caller; zero if that is not known.
+	aimAt time.Time
+	// mayWait tells whether the call may wait for a slot beside the upstream that was chosen.
+	mayWait bool
+	// busy are the nodes that had no free slot for the call.
+	busy  map[string]bool
+	timer *time.Timer
 
 	started bool
 	// ended is set once; after it nothing is written for this call.
@@ -64,6 +65,12 @@
 	// runs counts the attempts that may have run. A non-idempotent call has at most one.
 	runs  int
 	tried map[string]bool
+	// arrivals counts the attempts that have reached an upstream, refused ones included.
+	arrivals int
+	// held is an answer that is gathered before it goes to the caller.
+	held *heldAnswer
+	// lastNode is the node that the call was last sent to.
+	lastNode string
 	// lastRefusal is why the last try did not run.
 	lastRefusal string
 	// claimed is the attempt whose fate the claim asks for.
@@ -134,6 +141,9 @@
 		return x.lastByte.Add(settings.BodyIdleTimeout)
 	}
 	next := x.deadline
+	if x.queued {
+		return x.lastStart()
+	}
 	if check := now.Add(settings.SilenceAfter / 2); x.attempt != nil && check.Before(next) {
 		next = check
 	}
@@ -153,6 +163,8 @@
 		x.cut()
 	case !x.headSent && !now.Before(x.deadline):
 		x.timeOut()
+	case x.queued && !now.Before(x.lastStart()):
+		x.retryNotRun("waited-in-vain")
 	case !x.headSent:
 		x.checkSilence(now)
 	}
@@ -178,8 +190,7 @@
 		x.ended = true
 		return
 	}
-	if !x.idempotent && x.attempt != nil && x.attempt.sent && x.request.complete {
-		// The answer is kept for a caller or node that asks for it.
+	if x.answerMayBeAsked() {
 		return
 	}
 	x.forwarder.stats.Cancelled.Add(1)
@@ -191,6 +202,13 @@
 	x.end(nil, outcome)
 }
 
+// answerMayBeAsked tells whether the call goes on without its caller, since its answer is kept for a
+// node or a caller that asks for it later. A call that still waits for a slot does not go on.
+func (x *exchange) answerMayBeAsked() bool {
+	a := x.attempt
+	return !x.idempotent && a != nil && a.sent && x.request.complete && (a.local() && x.entry != nil || x.key != "")
+}
+
 // dropAttempts ends whatever is under way for the call.
 func (x *exchange) dropAttempts() {
 	if x.queued {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,10 @@
 	Common *common.Common
 	// ReportCrash is told the fingerprints of the requests during which the local upstream crashed.
 	ReportCrash func([]uint64)
+	// Dialect names the headers of the deployment.
+	Dialect Dialect
+	// Service is the service on whose VM this node runs, if it is known beforehand.
+	Service string
 }
 
 // Forwarder carries the calls of one node.
@@ -63,33 +68,44 @@
 	ids      *ledger
 	keys     *ledger
 	budgets  map[budgetKey]*budgeter.Budget
-	shares   map[string]float64
+	samplers map[string]*sampler
 	evidence map[evidenceKey]*evidenceCount
 	crashes  crashWatch
-	nextID   uint64
+	transit  transitClock
+	// answerBytes holds the mean length of answers by route.
+	answerBytes map[string]float64
+	nextID      uint64
+	// sender names this process to other nodes.
+	sender   string
 	draining bool
 }
 
 // New listens and starts the poller.
 func New(c Config) (*Forwarder, error) {
+	if c.Dialect == (Dialect{}) {
+		c.Dialect = OwnDialect()
+	}
 	f := &Forwarder{
-		config:   c,
-		common:   c.Common,
-		stop:     make(chan struct{}),
-		done:     make(chan struct{}),
-		buffer:   make([]byte, readBufferBytes),
-		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		callers:  map[*serverConn]struct{}{},
-		pools:    map[string]*pool{},
-		calls:    map[*exchange]struct{}{},
-		ids:      newLedger(maxIDs),
-		keys:     newLedger(maxKeys),
-		budgets:  map[budgetKey]*budgeter.Budget{},
-		shares:   map[string]float64{},
-		evidence: map[evidenceKey]*evidenceCount{},
+		config:      c,
+		common:      c.Common,
+		stop:        make(chan struct{}),
+		done:        make(chan struct{}),
+		buffer:      make([]byte, readBufferBytes),
+		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		callers:     map[*serverConn]struct{}{},
+		pools:       map[string]*pool{},
+		calls:       map[*exchange]struct{}{},
+		ids:         newLedger(maxIDs),
+		keys:        newLedger(maxKeys),
+		budgets:     map[budgetKey]*budgeter.Budget{},
+		samplers:    map[string]*sampler{},
+		evidence:    map[evidenceKey]*evidenceCount{},
+		answerBytes: map[string]float64{},
+		transit:     transitClock{fastest: map[string]time.Duration{}},
 	}
 	f.balancer = balancer.Balancer{Zone: c.Common.Settings.Zone, Random: f.random}
 	f.nextID = f.random.Uint64()
+	f.sender = c.Common.Settings.Name + "/" + strconv.FormatUint(f.random.Uint64(), 36)
 	f.view.Store(&router.Snapshot{Reason: "starting"})
 	if err := f.listen(); err != nil {
 		return nil, err
@@ -103,7 +119,7 @@
 	logging.SetLevel(logging.LevelNone)
 	addresses := []string{f.common.Settings.Listen, f.common.Settings.PeerListen}
 	f.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: addresses, NPoller: 1, ReadBufferSize: readBufferBytes,
-		EpollMod: nbio.EPOLLET, EPOLLONESHOT: nbio.EPOLLONESHOT, Listen: f.listenOne})
+		EpollMod: nbio.EPOLLET, Listen: f.listenOne})
 	f.engine.OnOpen(f.onOpen)
 	f.engine.OnClose(f.onClose)
 	f.engine.OnRead(f.onRead)
@@ -160,9 +176,7 @@
 	defer f.mu.Unlock()
 	if n, ok := c.Session().(*conn); ok {
 		n.read()
-		return
 	}
-	c.ResetPollerEvent()
 }
 
 func onWritten(c *nbio.Conn, _ []byte, n int) {
--- /dev/null
+++ b/internal/forwarder/held.go
@@ -0,0 +1,48 @@
+package forwarder
+
+// maxHeldBytes is the longest answer that is gathered before any of it goes to the caller. Until
+// then a cut answer can be replaced by one of another upstream; longer ones stream.
+const maxHeldBytes = 256 << 10
+
+// heldAnswer is an answer that is being gathered.
+type heldAnswer struct {
+	message  *message
+	body     []byte
+	fromPeer bool
+}
+
+// holds tells whether answers are gathered here: at the node where the call entered the mesh.
+func (x *exchange) holds(m *message) bool {
+	return x.forwarder.config.Dialect.Seal != "" && x.operation == "" && !x.caller.gone() && m.length <= maxHeldBytes
+}
+
+// hold takes a piece of the body. It reports false once the answer is too long to be held and has been released.
+func (x *exchange) hold(data []byte) bool {
+	h := x.held
+	if len(h.body)+len(data) <= maxHeldBytes {
+		h.body = append(h.body, data...)
+		return true
+	}
+	x.release()
+	return false
+}
+
+// release sends what has been gathered, and lets the rest stream.
+func (x *exchange) release() {
+	h := x.held
+	x.held = nil
+	x.forwarder.noteAnswerBytes(x.route, int64(len(h.body)))
+	x.writeHead(h.message, h.fromPeer)
+	if len(h.body) > 0 {
+		x.writeBody(h.body)
+	}
+}
+
+// releaseWhole sends the answer, which is complete, with its length.
+func (x *exchange) releaseWhole() {
+	if !bodyless(x.held.message.status) && x.request.message.method != "HEAD" {
+		x.held.message.length = int64(len(x.held.body))
+		x.held.message.chunked = false
+	}
+	x.release()
+}
--- a/internal/forwarder/keys.go
+++ b/internal/forwarder/keys.go
@@ -15,7 +15,7 @@
 
 // keyOwners returns the nodes that may know the call's key, best first.
 func (x *exchange) keyOwners() []*balancer.Endpoint {
-	service := x.view.Services[x.route.Service]
+	service := x.view.Services[x.service]
 	if service == nil {
 		return nil
 	}
@@ -70,7 +70,7 @@
 	}
 }
 
-func (x *exchange) ledgerKey() string { return x.route.Service + "\x00" + x.key }
+func (x *exchange) ledgerKey() string { return x.service + "\x00" + x.key }
 
 // ownKey runs a keyed call on the node that owns the key, or answers from the earlier run.
 func (x *exchange) ownKey() {
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -18,6 +18,8 @@
 	upstream *router.Local
 	// lastAnswer is when the upstream last answered any call.
 	lastAnswer time.Time
+	// downUntil is the end of the time for which an unreachable upstream is left alone.
+	downUntil time.Time
 }
 
 // updateLocal takes over the upstream and the queue limits of a new view.
@@ -51,23 +53,55 @@
 func (x *exchange) enterLocal() {
 	f := x.forwarder
 	l := f.local.upstream
-	if l == nil || l.Draining || l.Service != x.route.Service || x.version != "" && l.Version != x.version {
+	if !f.local.reachable(time.Now()) || l.Service != x.service || x.version != "" && l.Version != x.version {
 		x.retryNotRun("leaving")
 		return
 	}
-	verdict, evicted, hasEvicted := f.admitter.Enter(x, x.rank)
+	claim := admitter.Claim{Rank: x.rank, MayWait: x.mayWait, LatestStart: x.usefulStart()}
+	verdict, evicted, hasEvicted := f.admitter.Enter(x, claim, time.Now())
 	if hasEvicted {
 		evicted.queued = false
-		evicted.retryNotRun("queue-full")
+		evicted.retryNotRun(reasonQueueFull)
 	}
 	switch verdict {
 	case admitter.Granted:
 		x.sendLocal()
 	case admitter.Queued:
 		x.queued = true
+		x.arm(time.Now())
 	case admitter.Refused:
-		x.retryNotRun("queue-full")
+		if x.mayWait {
+			x.retryNotRun(reasonQueueFull)
+			return
+		}
+		x.retryNotRun(reasonBusy)
+	}
+}
+
+// Reasons for which a call gets no slot.
+const (
+	// reasonBusy tells that no slot is free for a call that may not wait.
+	reasonBusy = "busy"
+	// reasonQueueFull tells that the call would wait too long.
+	reasonQueueFull = "queue-full"
+)
+
+// usefulStart is when the call should have a slot: in time for the caller's aim, or else for its deadline.
+func (x *exchange) usefulStart() time.Time {
+	if start := x.aimAt.Add(-x.forwarder.admitter.ServiceTime()); time.Now().Before(start) {
+		return start
 	}
+	return x.lastStart()
+}
+
+// lastStart is when the call must have a slot to be answered before its deadline.
+func (x *exchange) lastStart() time.Time {
+	return x.deadline.Add(-x.forwarder.admitter.ServiceTime() / 2)
+}
+
+// localLoad returns the calls that run or wait beside this node's upstream, and the mean time of one.
+func (f *Forwarder) localLoad() (load int, service time.Duration) {
+	return f.admitter.InFlight() + f.admitter.Queued(), f.admitter.ServiceTime()
 }
 
 // sendLocal sends the call to the upstream. The call holds a slot.
@@ -98,7 +132,7 @@
 			return
 		}
 		x.queued = false
-		if f.local.upstream == nil || f.local.upstream.Draining {
+		if !f.local.reachable(time.Now()) {
 			f.admitter.Release()
 			x.retryNotRun("leaving")
 			continue
@@ -106,3 +140,24 @@
 		x.sendLocal()
 	}
 }
+
+// downTime is how long an upstream that can't be reached is left alone, unless it announces itself before.
+const downTime = 500 * time.Millisecond
+
+// noteUnreachable leaves the upstream alone for a while after a connection to it could not be opened:
+// what waits for it goes elsewhere.
+func (f *Forwarder) noteUnreachable() {
+	f.local.downUntil = time.Now().Add(downTime)
+	f.refuseQueued()
+}
+
+// noteRefused gives the upstream time after it has refused a call for want of room.
+func (f *Forwarder) noteRefused(a *attempt) {
+	f.stats.UpstreamRefused.Add(1)
+	f.common.Logger.Debug("upstream refused", "request", a.requestID(), "status", a.answer.status)
+}
+
+// reachable tells whether the upstream beside this node may get new work.
+func (l *localState) reachable(now time.Time) bool {
+	return l.upstream != nil && !l.upstream.Draining && !now.Before(l.downUntil)
+}
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -16,16 +17,24 @@
 	headerOperation = "Tamarackpitch-Operation"
 	// headerID identifies a call across nodes and attempts.
 	headerID = "Tamarackpitch-Id"
-	// headerDeadline is the end of the call's time, in Unix milliseconds.
-	headerDeadline    = "Tamarackpitch-Deadline"
+	// headerTimeLeft is the time left for the call, in milliseconds.
+	headerTimeLeft = "Tamarackpitch-Time-Left"
+	// headerSentAt is the sender's steady time at which the call was sent, in milliseconds, and
+	// headerSender the sender's name and incarnation. Together they show how long a call was held up on its way.
+	headerSentAt      = "Tamarackpitch-Sent-At"
+	headerSender      = "Tamarackpitch-Sender"
 	headerRoute       = "Tamarackpitch-Route"
 	headerService     = "Tamarackpitch-Service"
 	headerVersion     = "Tamarackpitch-Version"
 	headerFingerprint = "Tamarackpitch-Fingerprint"
 	// headerOwner names the node that owns an idempotency key.
 	headerOwner = "Tamarackpitch-Owner"
-	// headerLoad is a node's hint: the calls that run or wait beside its upstream.
+	// headerLoad is a node's hint: the calls that run or wait beside its upstream, and the mean time of one in ms.
 	headerLoad = "Tamarackpitch-Load"
+	// headerWait tells a node that the call may not wait for a slot, with the value waitNo.
+	headerWait = "Tamarackpitch-Wait"
+	// headerAimLeft is the time left until an answer is late, in milliseconds. It is absent where it is late already.
+	headerAimLeft = "Tamarackpitch-Aim-Left"
 
 	headerPrefix         = "Tamarackpitch-"
 	headerIdempotencyKey = "Idempotency-Key"
@@ -33,6 +42,8 @@
 	headerContentLength  = "Content-Length"
 	headerTransfer       = "Transfer-Encoding"
 	headerExpect         = "Expect"
+	headerHost           = "Host"
+	headerRetryAfter     = "Retry-After"
 	headerUpgrade        = "Upgrade"
 )
 
@@ -42,6 +53,8 @@
 	runUnknown = "unknown"
 )
 
+const waitNo = "no"
+
 // field is one header line.
 type field struct {
 	key   string
@@ -62,6 +75,8 @@
 	// hasLength tells that a Content-Length line was there.
 	hasLength bool
 	bytes     int
+	// headBytes counts the bytes of the header lines.
+	headBytes int
 }
 
 func (m *message) get(key string) string {
@@ -73,6 +88,17 @@
 	return ""
 }
 
+// count returns the number of header lines with a key.
+func (m *message) count(key string) int {
+	n := 0
+	for _, f := range m.header {
+		if f.key == key {
+			n++
+		}
+	}
+	return n
+}
+
 // keepAlive tells whether the sender leaves the connection open after this message.
 func (m *message) keepAlive() bool {
 	connection := strings.ToLower(m.get(headerConnection))
@@ -93,15 +119,15 @@
 }
 
 // forwarded returns the header lines that go on to the next hop: without those of the connection,
-// and without this system's own.
-func (m *message) forwarded() []field {
+// without this system's own, and without the ones named.
+func (m *message) forwarded(without ...string) []field {
 	named := strings.ToLower(m.get(headerConnection))
 	kept := make([]field, 0, len(m.header))
 	for _, f := range m.header {
-		if isHopByHop(f.key) || strings.HasPrefix(f.key, headerPrefix) {
+		if isHopByHop(f.key) || strings.HasPrefix(f.key, headerPrefix) || slices.Contains(without, f.key) {
 			continue
 		}
-		if named != "" && strings.Contains(named, strings.ToLower(f.key)) {
+		if named != "" && namesHeader(named, f.key) {
 			continue
 		}
 		kept = append(kept, f)
@@ -109,6 +135,16 @@
 	return kept
 }
 
+// namesHeader tells whether a Connection header names another header.
+func namesHeader(connection, key string) bool {
+	for _, name := range strings.Split(connection, ",") {
+		if strings.EqualFold(strings.TrimSpace(name), key) {
+			return true
+		}
+	}
+	return false
+}
+
 func writeField(b *bytes.Buffer, key, value string) {
 	b.WriteString(key)
 	b.WriteString(": ")
--- a/internal/forwarder/reader.go
+++ b/internal/forwarder/reader.go
@@ -159,9 +159,14 @@
 	return r.handler.onEnd()
 }
 
-// finish is called when the peer has closed the connection. It reports whether the last message is whole.
-func (r *reader) finish() bool {
-	if r.raw && r.remaining == untilClose {
+// endsWithConnection tells whether the message being read has no other end than that of the connection.
+func (r *reader) endsWithConnection() bool {
+	return r.raw && r.chunks == nil && r.remaining == untilClose
+}
+
+// finish is called when the connection has ended, in order or not. It reports whether the last message is whole.
+func (r *reader) finish(inOrder bool) bool {
+	if inOrder && r.endsWithConnection() {
 		r.reset()
 		return r.end() == nil
 	}
@@ -214,6 +219,15 @@
 
 // OnHeader takes a header line.
 func (r *reader) OnHeader(_ *nbhttp.Parser, key, value string) {
+	r.message.headBytes += len(key) + len(value)
+	if r.message.headBytes > maxHeaderBytes {
+		r.fail(KindTooLarge, "header")
+		return
+	}
+	if strings.ContainsAny(value, "\x00\r\n") {
+		r.fail(KindMalformed, "control byte in a header value")
+		return
+	}
 	if len(r.message.header) >= maxHeaderLines {
 		r.fail(KindTooLarge, "too many header lines")
 		return
--- /dev/null
+++ b/internal/forwarder/retry.go
@@ -0,0 +1,104 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/budgeter"
+)
+
+const (
+	// maxTries bounds the nodes that one call is offered to. Most refuse before anything reaches an upstream.
+	maxTries = 8
+	// defaultAttempts bounds the upstreams that one call is sent to, where its route says nothing.
+	defaultAttempts = 2
+	// reasonUpstreamRefused tells that an upstream refused the call, which draws on the retry budget.
+	reasonUpstreamRefused = "upstream-refused"
+)
+
+// replayable tells whether the request can be sent once more.
+func (x *exchange) replayable() bool {
+	return x.request.complete && !x.request.streamed
+}
+
+// attempts bounds the upstreams that the call may be sent to.
+func (x *exchange) attempts() int {
+	if n := int(x.route.Attempts); n > 0 {
+		return n
+	}
+	return defaultAttempts
+}
+
+// mayTryAgain tells whether another node may be tried, apart from the retry budget.
+func (x *exchange) mayTryAgain() bool {
+	return x.routes() && !x.caller.gone() && x.tries < maxTries && x.arrivals < x.attempts() &&
+		x.replayable() && time.Now().Before(x.deadline)
+}
+
+// mayRetry tells whether another node may be tried, and draws on the budget once an upstream has seen the call.
+func (x *exchange) mayRetry() bool {
+	if !x.mayTryAgain() {
+		return false
+	}
+	if x.arrivals == 0 {
+		return true
+	}
+	if !x.forwarder.budget(x.service, x.route.Class).Spend() {
+		return false
+	}
+	x.forwarder.stats.Retries.Add(1)
+	return true
+}
+
+// retryNotRun tries another upstream after a refusal that is known not to have run.
+func (x *exchange) retryNotRun(reason string) {
+	x.lastRefusal = reason
+	if reason == reasonBusy && x.routes() {
+		x.noteBusy(x.lastNode)
+	}
+	x.dropAttempts()
+	if x.awaitsOwner() {
+		x.tryNextOwner()
+		return
+	}
+	if x.mayRetry() {
+		x.dispatch()
+		return
+	}
+	x.refuseNotRun(reason)
+}
+
+// refuseNotRun ends a call after its last try did not run. An earlier one may have.
+func (x *exchange) refuseNotRun(reason string) {
+	if x.runs > 0 {
+		x.refuse(502, reason, runUnknown)
+		return
+	}
+	x.refuse(503, reason, runNo)
+}
+
+// retryUnknown tries another upstream after an attempt that may have run.
+func (x *exchange) retryUnknown(reason string) {
+	x.dropAttempts()
+	if x.idempotent && x.mayRetry() {
+		x.dispatch()
+		return
+	}
+	x.refuse(502, reason, runUnknown)
+}
+
+type budgetKey struct {
+	service string
+	class   string
+}
+
+// budget returns the retry budget of a service and class, so that a class does not
+// use up the retries of a higher one.
+func (f *Forwarder) budget(service, class string) *budgeter.Budget {
+	key := budgetKey{service: service, class: class}
+	b, ok := f.budgets[key]
+	if !ok {
+		b = budgeter.New()
+		f.budgets[key] = b
+	}
+	return b
+}
--- a/internal/forwarder/serverconn.go
+++ b/internal/forwarder/serverconn.go
@@ -144,6 +144,9 @@
 	s.conn.write(b.Bytes())
 }
 
+// gone tells whether the caller has left.
+func (s *serverConn) gone() bool { return s == nil }
+
 func (s *serverConn) idle() bool { return len(s.queue) == 0 && s.conn.reader.message == nil }
 
 func (s *serverConn) lastUse() time.Time {
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -4,6 +4,9 @@
 	"time"
 )
 
+// silentServices is how many service times an upstream may take before its connection is suspected.
+const silentServices = 5
+
 // checkSilence looks after an attempt that has given no answer for a while.
 func (x *exchange) checkSilence(now time.Time) {
 	a := x.attempt
@@ -11,6 +14,9 @@
 		return
 	}
 	silence := x.forwarder.common.Settings.SilenceAfter
+	if a.local() {
+		silence = max(silence, silentServices*x.forwarder.admitter.ServiceTime())
+	}
 	if now.Sub(a.began) < silence {
 		return
 	}
@@ -38,7 +44,7 @@
 // once the upstream has answered other calls since.
 func (x *exchange) checkUpstreamSilence(a *attempt) {
 	f := x.forwarder
-	if !x.idempotent || !a.conn.reused || x.runs >= maxRuns || !x.replayable() || !f.local.lastAnswer.After(a.began) {
+	if !x.idempotent || !a.conn.reused || x.arrivals >= x.attempts() || !x.replayable() || !f.local.lastAnswer.After(a.began) {
 		return
 	}
 	f.stats.Retries.Add(1)
--- a/internal/forwarder/start.go
+++ b/internal/forwarder/start.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net"
 	"net/url"
 	"strconv"
 	"strings"
@@ -11,6 +12,9 @@
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
+// maxTimeLeft bounds the time that a caller may say it waits.
+const maxTimeLeft = 24 * time.Hour
+
 // start begins to serve the call.
 func (x *exchange) start() {
 	f := x.forwarder
@@ -36,7 +40,12 @@
 	f := x.forwarder
 	f.stats.Entered.Add(1)
 	m := x.request.message
-	if !x.view.Ready && !f.draining {
+	path, ok := requestPath(m.uri)
+	if !ok || m.proto == "HTTP/1.1" && m.count(headerHost) != 1 {
+		x.refuse(400, "malformed", runNo)
+		return
+	}
+	if !x.view.Ready && !f.draining || !x.view.Configured {
 		x.refuse(503, "not-ready", runNo)
 		return
 	}
@@ -44,27 +53,31 @@
 		x.refuse(503, "too-many-calls", runNo)
 		return
 	}
-	path, ok := requestPath(m.uri)
-	if !ok {
-		x.refuse(400, "malformed", runNo)
-		return
-	}
-	x.route = x.view.Match(m.method, path)
+	x.route = x.view.Match(requestHost(m), m.method, path)
 	if x.route == nil {
 		x.refuse(404, "no-route", runNo)
 		return
 	}
+	x.service = f.chooseService(x.route)
 	x.rank = x.view.Rank(x.route.Class)
 	x.idempotent = x.route.Idempotent
-	x.setDeadline(x.startedAt.Add(time.Duration(x.route.TimeoutMs) * time.Millisecond))
+	x.setDeadline(x.callerDeadline())
+	x.aimAt = x.callerAim()
+	x.startRouted()
+}
+
+// startRouted goes on with a call whose route is known.
+func (x *exchange) startRouted() {
+	f := x.forwarder
+	m := x.request.message
 	x.fingerprint = fingerprint(x.route.Name, m, x.request.body)
 	if x.view.Refused[x.fingerprint] {
 		f.stats.CrashRefused.Add(1)
-		x.refuse(422, "crashes-upstreams", runNo)
+		x.refuse(f.config.Dialect.CrashStatus, "crashes-upstreams", runNo)
 		return
 	}
-	f.budget(x.route).Earn(x.view.Preset.GetRetryBudget())
-	if !x.idempotent {
+	f.budget(x.service, x.route.Class).Earn(x.view.Preset.GetRetryBudget())
+	if !x.idempotent && f.config.Dialect.RequestID == "" {
 		x.key = m.get(headerIdempotencyKey)
 	}
 	if x.key != "" {
@@ -74,6 +87,42 @@
 	x.dispatch()
 }
 
+// callerDeadline is the end of the route's time, or of the caller's own if that is earlier.
+func (x *exchange) callerDeadline() time.Time {
+	left := time.Duration(x.route.TimeoutMs) * time.Millisecond
+	if ms, ok := timeLeft(x.request.message, x.forwarder.config.Dialect.TimeLeft); ok {
+		left = min(left, ms)
+	}
+	return x.startedAt.Add(left)
+}
+
+// callerAim is when an answer becomes late. A caller that comes back has used up a part of the route's time.
+func (x *exchange) callerAim() time.Time {
+	if x.route.AimMs == 0 {
+		return time.Time{}
+	}
+	used := time.Duration(x.route.TimeoutMs)*time.Millisecond - x.deadline.Sub(x.startedAt)
+	return x.startedAt.Add(time.Duration(x.route.AimMs)*time.Millisecond - used)
+}
+
+// timeLeft reads a header that holds milliseconds.
+func timeLeft(m *message, header string) (time.Duration, bool) {
+	ms, err := strconv.ParseFloat(m.get(header), 64)
+	if err != nil || !(ms >= 0 && ms < maxTimeLeft.Seconds()*1000) {
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
+
+// requestHost returns the host that a request names, in lower case and without a port.
+func requestHost(m *message) string {
+	host := strings.ToLower(m.get(headerHost))
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
 // requestPath returns the path of a request's target.
 func requestPath(uri string) (string, bool) {
 	if !strings.HasPrefix(uri, "/") {
@@ -103,14 +152,15 @@
 	m := x.request.message
 	x.operation = m.get(headerOperation)
 	x.id, _ = strconv.ParseUint(m.get(headerID), 16, 64)
-	deadline, _ := strconv.ParseInt(m.get(headerDeadline), 10, 64)
+	left, _ := timeLeft(m, headerTimeLeft)
+	deadline := x.startedAt.Add(left - x.forwarder.transit.heldUp(m, x.startedAt))
 	switch x.operation {
 	case operationClaim:
-		x.setDeadline(time.UnixMilli(deadline))
+		x.setDeadline(deadline)
 		x.answerClaim()
 		return
 	case operationReserve:
-		x.setDeadline(time.UnixMilli(deadline))
+		x.setDeadline(deadline)
 		x.answerReserve()
 		return
 	case operationCall, operationOwn:
@@ -124,29 +174,34 @@
 		x.refuseKnown(entry)
 		return
 	}
-	x.entry = x.forwarder.ids.start(ledgerKey(x.id), time.UnixMilli(deadline).Add(idGrace))
+	x.entry = x.forwarder.ids.start(ledgerKey(x.id), deadline.Add(idGrace))
 	if x.entry == nil {
 		x.refuse(503, "too-many-calls", runNo)
 		return
 	}
-	x.startForPeer(time.UnixMilli(deadline))
+	x.startForPeer(deadline)
 }
 
 // startForPeer starts a call whose id is new here.
 func (x *exchange) startForPeer(deadline time.Time) {
 	m := x.request.message
-	x.route = x.findRoute(m.get(headerRoute), m.get(headerService))
+	x.service = m.get(headerService)
+	x.route = x.findRoute(m.get(headerRoute), x.service)
 	x.idempotent = x.route.Idempotent
 	x.rank = x.view.Rank(x.route.Class)
 	x.version = m.get(headerVersion)
 	x.fingerprint, _ = strconv.ParseUint(m.get(headerFingerprint), 16, 64)
 	x.setDeadline(deadline)
+	x.mayWait = m.get(headerWait) != waitNo
+	if left, ok := timeLeft(m, headerAimLeft); ok {
+		x.aimAt = x.startedAt.Add(left)
+	}
 	if !x.deadline.After(x.startedAt) {
 		x.refuse(504, "deadline", runNo)
 		return
 	}
 	if x.view.Refused[x.fingerprint] {
-		x.refuse(422, "crashes-upstreams", runNo)
+		x.refuse(x.forwarder.config.Dialect.CrashStatus, "crashes-upstreams", runNo)
 		return
 	}
 	if x.operation == operationOwn {
@@ -160,8 +215,16 @@
 // findRoute returns the route that the sending node has chosen. A node that does not know it yet
 // treats the call as non-idempotent, which is always safe.
 func (x *exchange) findRoute(name, service string) *schema.Route {
-	if r := x.view.Match(x.request.message.method, x.request.message.uri); r != nil && r.Name == name {
+	if r := x.view.Match(requestHost(x.request.message), x.request.message.method, x.request.message.uri); r != nil && r.Name == name {
 		return r
 	}
 	return &schema.Route{Name: name, Service: service}
 }
+
+// callerService returns the service on whose VM the call entered the mesh.
+func (x *exchange) callerService() string {
+	if x.caller != nil && x.caller.fromPeer || x.operation != "" {
+		return x.request.message.get(x.forwarder.config.Dialect.CallerService)
+	}
+	return x.forwarder.config.Service
+}
--- a/internal/forwarder/stats.go
+++ b/internal/forwarder/stats.go
@@ -19,6 +19,8 @@
 	Cancelled    atomic.Uint64
 	Cut          atomic.Uint64
 	Malformed    atomic.Uint64
+	// UpstreamRefused counts calls that the local upstream refused without running them.
+	UpstreamRefused atomic.Uint64
 
 	mu       sync.Mutex
 	refusals map[string]uint64
--- /dev/null
+++ b/internal/logclient/configlog.go
@@ -0,0 +1,127 @@
+package logclient
+
+import (
+	"context"
+	"errors"
+
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/controller"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// joinRecords is the number of join records that a starting node looks at.
+const joinRecords = 64
+
+// ConfigLog serves the control part from the streams of the log. It implements controller.ConfigLog.
+type ConfigLog struct {
+	client *Client
+}
+
+// NewConfigLog returns a ConfigLog.
+func NewConfigLog(c *Client) *ConfigLog { return &ConfigLog{client: c} }
+
+// Begin returns the end of the configuration stream and the nodes that announced themselves lately.
+func (l *ConfigLog) Begin(ctx context.Context) (controller.Beginning, error) {
+	_, next, err := l.client.Bounds(ctx, ConfigStream)
+	if err != nil {
+		return controller.Beginning{}, err
+	}
+	members, err := l.members(ctx)
+	return controller.Beginning{Next: next, Members: members}, err
+}
+
+func (l *ConfigLog) members(ctx context.Context) ([]*schema.Member, error) {
+	first, next, err := l.client.Bounds(ctx, JoinStream)
+	if err != nil || next == first {
+		return nil, err
+	}
+	if next-first > joinRecords {
+		first = next - joinRecords
+	}
+	page, err := l.client.Read(ctx, JoinStream, first, 0)
+	if err != nil {
+		return nil, err
+	}
+	unique := map[string]bool{}
+	var members []*schema.Member
+	for _, r := range page.Records {
+		if address := string(r.Body); !unique[address] {
+			unique[address] = true
+			members = append(members, &schema.Member{ControlAddress: address})
+		}
+	}
+	return members, nil
+}
+
+// Read returns records of the configuration stream.
+func (l *ConfigLog) Read(ctx context.Context, from uint64, wait time.Duration) (controller.LogPage, error) {
+	page, err := l.client.Read(ctx, ConfigStream, from, wait)
+	var logError *Error
+	if errors.As(err, &logError) && logError.Kind == KindExpired {
+		return controller.LogPage{First: page.First, Next: page.Next, Expired: true}, nil
+	}
+	if err != nil {
+		return controller.LogPage{}, err
+	}
+	records := make([]*schema.LogRecord, len(page.Records))
+	for i, r := range page.Records {
+		records[i] = &schema.LogRecord{Offset: r.Offset, Body: r.Body}
+	}
+	return controller.LogPage{Records: records, First: page.First, Next: page.Next}, nil
+}
+
+// Recover looks for the newest checkpoint among the retained records.
+func (l *ConfigLog) Recover(ctx context.Context, position uint64, bounds controller.LogPage) (*schema.State, error) {
+	var found *schema.State
+	for at := bounds.First; at < bounds.Next; {
+		page, err := l.client.Read(ctx, ConfigStream, at, 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(page.Records) == 0 {
+			break
+		}
+		for _, record := range page.Records {
+			at = record.Offset + 1
+			if s := checkpointState(record.Body); s != nil && s.Position > position && s.Position >= bounds.First {
+				found = s
+			}
+		}
+	}
+	if found == nil {
+		return nil, &Error{Operation: "recover", Kind: KindExpired, Cause: errors.New("no checkpoint retained")}
+	}
+	return found, nil
+}
+
+func checkpointState(body []byte) *schema.State {
+	record := &schema.Record{}
+	if proto.Unmarshal(body, record) != nil {
+		return nil
+	}
+	return record.GetCheckpoint().GetState()
+}
+
+// Append adds a configuration record.
+func (l *ConfigLog) Append(ctx context.Context, record *schema.Record) error {
+	body, err := proto.Marshal(record)
+	if err != nil {
+		return &Error{Operation: "append", Kind: KindRefused, Cause: err}
+	}
+	_, err = l.client.Append(ctx, ConfigStream, body)
+	return err
+}
+
+// Announce adds the node's control address to the join stream.
+func (l *ConfigLog) Announce(ctx context.Context, self *schema.Member) error {
+	_, err := l.client.Append(ctx, JoinStream, []byte(self.ControlAddress))
+	return err
+}
+
+// SaveProgress does nothing: the overlay holds the progress, and an outcome record closes the rollout.
+func (l *ConfigLog) SaveProgress(context.Context, *schema.Rollout, *schema.Progress) error {
+	return nil
+}
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/lesismal/nbio/logging"
@@ -48,16 +50,14 @@
 // New returns a Requester on a started engine.
 func New(engine *nbhttp.Engine) *Requester { return &Requester{engine: engine} }
 
-// NewEngine starts an engine that serves a handler on an address, or clients only if the address is empty.
-func NewEngine(address string, handler http.Handler) (*nbhttp.Engine, error) {
+// NewEngine starts an engine that serves a handler on the addresses that are not empty; clients can use it in any case.
+func NewEngine(handler http.Handler, addresses ...string) (*nbhttp.Engine, error) {
 	logging.SetLevel(logging.LevelNone)
 	config := nbhttp.Config{Network: "tcp", NPoller: 1, Handler: handler, MessageHandlerPoolSize: handlers, ReadLimit: 32 << 20}
-	if address != "" {
-		config.Addrs = []string{address}
-	}
+	config.Addrs = slices.DeleteFunc(addresses, func(a string) bool { return a == "" })
 	engine := nbhttp.NewEngine(config)
 	if err := engine.Start(); err != nil {
-		return nil, &Error{Operation: "listen " + address, Kind: "listen", Cause: err}
+		return nil, &Error{Operation: "listen " + strings.Join(addresses, " "), Kind: "listen", Cause: err}
 	}
 	return engine, nil
 }
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -77,15 +77,13 @@
 	case t.step >= last:
 		d.Completed = elapsed >= t.watch()
 		d.Reason = "all traffic moved and the watch period passed"
-	case elapsed >= t.stepTime() && t.stepCalls >= t.neededCalls(now) && t.everyRouteTried(now):
+	case elapsed >= t.stepTime() && !now.Before(t.firstStepEnd()) && t.stepCalls >= t.neededCalls(now) && t.everyRouteTried(now):
 		t.step, t.stepSince, t.stepCalls = t.step+1, now, 0
 		d.Step = t.step
 	}
 	return d
 }
 
-func (t *Trial) deadline() time.Time { return time.UnixMilli(t.config.Rollout.DeadlineUnixMs) }
-
 func (t *Trial) watch() time.Duration {
 	return time.Duration(t.config.Preset.WatchMs) * time.Millisecond
 }
@@ -96,6 +94,16 @@
 	return max(min(interval, t.budget()), minStep)
 }
 
+// firstStepEnd is the earliest end of the first step. A version that turns bad after a while, or with the
+// first larger share, then does so while most calls still go to the old one.
+func (t *Trial) firstStepEnd() time.Time {
+	duration := time.Duration(t.config.Rollout.DurationMs) * time.Millisecond
+	if t.step > 0 || duration == 0 {
+		return time.Time{}
+	}
+	return t.config.Deadline.Add(-time.Duration((1 - t.config.Preset.FirstStepPart) * float64(duration)))
+}
+
 // budget is the time each remaining step may take so that the last one is reached by the deadline.
 func (t *Trial) budget() time.Duration {
 	remaining := LastStep(t.config.Preset) - t.step
@@ -103,11 +111,14 @@
 		return t.watch()
 	}
 	// Half of the time in hand goes to the steps, the rest is slack for holds and handovers.
-	return t.deadline().Sub(t.stepSince) / time.Duration(2*remaining)
+	return t.config.Deadline.Sub(t.stepSince) / time.Duration(2*remaining)
 }
 
 // neededCalls is the preset's evidence, and less once the step takes longer than its budget.
 func (t *Trial) neededCalls(now time.Time) uint64 {
+	if t.urgent(now) {
+		return 0
+	}
 	needed := uint64(max(t.config.Preset.MinCalls, floorCalls))
 	if now.Sub(t.stepSince) > t.budget() {
 		return min(needed, floorCalls)
@@ -115,6 +126,16 @@
 	return needed
 }
 
+// urgent tells that the steps left, at their shortest, take all the time that is left. A version that gets
+// no calls is not held back then: nothing speaks against it.
+func (t *Trial) urgent(now time.Time) bool {
+	if t.config.Rollout.DurationMs == 0 {
+		return false
+	}
+	shortest := time.Duration(LastStep(t.config.Preset)-t.step)*minStep + t.watch()
+	return t.config.Deadline.Sub(now) <= 2*shortest
+}
+
 // everyRouteTried tells whether the new version has taken a few calls on every route that the old one
 // serves. Only the first step waits for that, and only while the deadline leaves the time.
 func (t *Trial) everyRouteTried(now time.Time) bool {
@@ -134,7 +155,7 @@
 	if t.step >= last {
 		return false
 	}
-	if now.After(t.deadline()) {
+	if now.After(t.config.Deadline) {
 		return true
 	}
 	return now.Sub(t.stepSince) > 2*t.budget()
--- a/internal/roller/trial.go
+++ b/internal/roller/trial.go
@@ -28,6 +28,8 @@
 	Now     time.Time
 	// Step is the step already reached.
 	Step int
+	// Deadline is when all traffic must have moved.
+	Deadline time.Time
 }
 
 // Trial is the state of one open rollout at its controller.
@@ -65,9 +67,15 @@
 
 // New returns a Trial.
 func New(c Config) *Trial {
+	if c.Deadline.IsZero() {
+		c.Deadline = time.UnixMilli(c.Rollout.DeadlineUnixMs)
+	}
 	return &Trial{config: c, routes: map[string]*routeTrial{}, step: c.Step, stepSince: c.Now, decayedAt: c.Now}
 }
 
+// Deadline returns when all traffic must have moved.
+func (t *Trial) Deadline() time.Time { return t.config.Deadline }
+
 // Rollout returns the rollout on trial.
 func (t *Trial) Rollout() *schema.Rollout { return t.config.Rollout }
 
@@ -75,12 +83,12 @@
 func (t *Trial) Observe(evidence []*schema.Evidence, now time.Time) {
 	for _, e := range evidence {
 		switch e.Version {
-		case t.config.Rollout.From:
-			t.service.add(e)
-			t.route(e.Route).old.add(e)
 		case t.config.Rollout.To:
 			t.stepCalls += e.Calls
 			t.pending = append(t.pending, pendingEvidence{at: now, evidence: e})
+		default:
+			t.service.add(e)
+			t.route(e.Route).old.add(e)
 		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,7 +4,6 @@
 package router
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -20,15 +19,18 @@
 	To              string
 	// Share of calls for To, from 0 to 1. It is 0 once the rollout is rolled back.
 	Share float64
+	// Decided tells that the rollout is over, so that no evidence is needed.
+	Decided bool
 }
 
 // Service is a service with its live upstreams.
 type Service struct {
 	Name    string
-	Stable  string
 	Rollout *Rollout
-	// Versions holds the endpoints that take new work, by version.
-	Versions map[string][]*balancer.Endpoint
+	// Endpoints take new work, but for those of the rollout's new version.
+	Endpoints []*balancer.Endpoint
+	// Trial are the endpoints of the rollout's new version. They take its share of new work.
+	Trial []*balancer.Endpoint
 	// Owners are all live nodes of the service, those that drain included, sorted by name.
 	Owners []*balancer.Endpoint
 }
@@ -43,6 +45,8 @@
 	Draining    bool
 	// WarmAt is the end of the upstream's cold start.
 	WarmAt time.Time
+	// Instance identifies the upstream's incarnation, or is empty.
+	Instance string
 }
 
 // Snapshot is everything a call needs to know. It is never changed after it is published.
@@ -55,7 +59,9 @@
 	Reason string
 	// Leaving tells that the node is being shut down; it still serves calls.
 	Leaving bool
-	Node    string
+	// Configured tells that some configuration is known.
+	Configured bool
+	Node       string
 	// Services by name. Every route's service is a key.
 	Services map[string]*Service
 	Preset   *schema.Preset
@@ -64,29 +70,24 @@
 	// Refused holds the fingerprints of requests that crash upstreams.
 	Refused map[uint64]bool
 	Members int
+	// Limits bound what callers may send. It is nil where the configuration says nothing.
+	Limits *schema.Limits
 
-	routes routeIndex
+	// routes by host; those for any host are under the empty name.
+	routes map[string]routeIndex
 	ranks  map[string]int
 }
 
-// routeIndex finds routes by the first segment of their path prefix. Lists are ordered by longest prefix.
-type routeIndex struct {
-	bySegment map[string][]*schema.Route
-	// root holds the routes whose prefix is "/".
-	root []*schema.Route
-}
-
 // WithRoutes returns the snapshot with other routes, given with the longest prefix first.
 func (s *Snapshot) WithRoutes(routes []*schema.Route) *Snapshot {
 	next := *s
-	next.routes = routeIndex{bySegment: map[string][]*schema.Route{}}
+	next.routes = map[string]routeIndex{}
 	for _, r := range routes {
-		if r.PathPrefix == "/" {
-			next.routes.root = append(next.routes.root, r)
-			continue
+		index, ok := next.routes[r.Host]
+		if !ok {
+			index = routeIndex{bySegment: map[string][]*schema.Route{}}
 		}
-		segment := firstSegment(r.PathPrefix)
-		next.routes.bySegment[segment] = append(next.routes.bySegment[segment], r)
+		next.routes[r.Host] = index.with(r)
 	}
 	return &next
 }
@@ -102,35 +103,15 @@
 	return &next
 }
 
-func firstSegment(path string) string {
-	segment, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	return segment
-}
-
-// Match returns the route with the longest prefix for a method and path, or nil.
+// Match returns the route with the longest prefix for a host, method and path, or nil.
 // A prefix matches whole path segments: /status matches /status and /status/7, not /statusx.
-func (s *Snapshot) Match(method, path string) *schema.Route {
+// Routes of the host go before those for any host.
+func (s *Snapshot) Match(host, method, path string) *schema.Route {
 	path, _, _ = strings.Cut(path, "?")
-	if r := match(s.routes.bySegment[firstSegment(path)], method, path); r != nil {
+	if r := s.routes[host].match(method, path); r != nil || host == "" {
 		return r
 	}
-	return match(s.routes.root, method, path)
-}
-
-func match(routes []*schema.Route, method, path string) *schema.Route {
-	for _, r := range routes {
-		if hasPathPrefix(path, r.PathPrefix) && slices.Contains(r.Methods, method) {
-			return r
-		}
-	}
-	return nil
-}
-
-func hasPathPrefix(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	return len(path) == len(prefix) || prefix[len(prefix)-1] == '/' || path[len(prefix)] == '/'
+	return s.routes[""].match(method, path)
 }
 
 // Rank returns the priority of a class: 0 is the highest. Unknown classes come last.
@@ -141,16 +122,11 @@
 	return len(s.ranks)
 }
 
-// RouteNames returns the names of all routes with their services, for checks.
-func (s *Snapshot) RouteNames() map[string]string {
-	names := map[string]string{}
-	for _, r := range s.routes.root {
-		names[r.Name] = r.Service
-	}
-	for _, routes := range s.routes.bySegment {
-		for _, r := range routes {
-			names[r.Name] = r.Service
-		}
+// RouteServices returns the names of all services that routes lead to, for checks.
+func (s *Snapshot) RouteServices() map[string]bool {
+	services := map[string]bool{}
+	for _, index := range s.routes {
+		index.addServices(services)
 	}
-	return names
+	return services
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -26,8 +26,12 @@
 	AdminListen   string `help:"Address for announcements, health, metrics and status (HTTP/1.1)." default:"127.0.0.1:8083"`
 
 	// Platform and peers.
-	LogURL string   `help:"Base URL of the platform's log service." default:"http://127.0.0.1:8090" name:"log-url"`
-	Peers  []string `help:"Control addresses of nodes to join first, IP:port." name:"peer" sep:","`
+	LogURL         string   `help:"Base URL of the platform's log service." default:"http://127.0.0.1:8090" name:"log-url"`
+	Dialect        string   `help:"What callers, upstreams and the log speak: tamarackpitch's own interface, or that of the users' platform." default:"own" enum:"own,platform"`
+	Service        string   `help:"Service of the upstream beside the node, if it is known beforehand."`
+	UpstreamListen string   `help:"Address for heartbeats of the upstream on the platform; empty for none."`
+	ReadyListen    string   `help:"Address for readiness checks of the platform; empty for none."`
+	Peers          []string `help:"Control addresses of nodes to join first, IP:port." name:"peer" sep:","`
 
 	// Logging.
 	LogLevel string `help:"Lowest level that is logged." default:"info" enum:"trace,debug,info,warn,error"`
@@ -39,8 +43,10 @@
 	Lease        time.Duration `help:"Lifetime of an upstream's announcement." default:"3s"`
 
 	// Configuration.
-	Readers         int `help:"Nodes of a zone that read the log." default:"2"`
-	CheckpointEvery int `help:"Records between checkpoints." default:"500"`
+	Readers         int           `help:"Nodes of a zone that read the log." default:"2"`
+	FloodRecords    bool          `help:"Send records on to neighbours at once. Without it a node that lags asks for them." default:"true" negatable:""`
+	CheckpointEvery int           `help:"Records between checkpoints; 0 writes none." default:"500"`
+	RejoinInterval  time.Duration `help:"Interval at which one node of a zone looks in the log for nodes that the mesh does not know." default:"5s"`
 
 	// Rollouts.
 	ReportInterval time.Duration `help:"Interval at which evidence on rollouts is sent to their controller." default:"200ms"`
@@ -51,7 +57,8 @@
 	BodyIdleTimeout time.Duration `help:"Time without any byte of a body after which the call ends." default:"30s"`
 	IdleTimeout     time.Duration `help:"Idle time after which a connection towards an upstream or a node is closed." default:"15s"`
 	SilenceAfter    time.Duration `help:"Time without an answer after which a call's fate is asked for over a new connection." default:"1s"`
-	DrainTimeout    time.Duration `help:"Longest graceful shutdown." default:"60s"`
+	LeaveDelay      time.Duration `help:"Time between the news that the node leaves and the end of its listeners." default:"1s"`
+	DrainTimeout    time.Duration `help:"Time after the end of the listeners in which calls may finish." default:"60s"`
 
 	// Runtime.
 	Threads       int `help:"Threads that run Go code at one time. More of them add latency, since idle ones search for work." default:"2"`
@@ -81,6 +88,14 @@
 	if err := checkAddress("peer-advertise", n.PeerAdvertise); err != nil {
 		return err
 	}
+	for key, value := range map[string]string{"upstream-listen": n.UpstreamListen, "ready-listen": n.ReadyListen} {
+		if value == "" {
+			continue
+		}
+		if err := checkAddress(key, value); err != nil {
+			return err
+		}
+	}
 	for _, p := range n.Peers {
 		if err := checkAddress("peer", p); err != nil {
 			return err
@@ -96,7 +111,7 @@
 	durations := map[string]time.Duration{"heartbeat": n.Heartbeat, "suspect-after": n.SuspectAfter,
 		"dead-after": n.DeadAfter, "lease": n.Lease, "report-interval": n.ReportInterval,
 		"header-timeout": n.HeaderTimeout, "body-idle-timeout": n.BodyIdleTimeout, "idle-timeout": n.IdleTimeout,
-		"silence-after": n.SilenceAfter, "drain-timeout": n.DrainTimeout}
+		"silence-after": n.SilenceAfter, "rejoin-interval": n.RejoinInterval, "drain-timeout": n.DrainTimeout, "leave-delay": n.LeaveDelay}
 	for key, value := range durations {
 		if value < 10*time.Millisecond || value > time.Hour {
 			return settingError(key, value.String(), "a duration from 10ms to 1h")
@@ -105,7 +120,7 @@
 	if n.SuspectAfter < 2*n.Heartbeat {
 		return settingError("suspect-after", n.SuspectAfter.String(), "at least two heartbeats")
 	}
-	numbers := map[string]int{"readers": n.Readers, "checkpoint-every": n.CheckpointEvery,
+	numbers := map[string]int{"readers": n.Readers,
 		"max-in-flight": n.MaxInFlight, "memory-limit-mb": n.MemoryLimitMB,
 		"threads": n.Threads}
 	for key, value := range numbers {
@@ -113,6 +128,9 @@
 			return settingError(key, fmt.Sprint(value), "a number of at least 1")
 		}
 	}
+	if n.CheckpointEvery < 0 {
+		return settingError("checkpoint-every", fmt.Sprint(n.CheckpointEvery), "a number of at least 0")
+	}
 	return nil
 }
 
--- a/internal/standin/harness/mesh.go
+++ b/internal/standin/harness/mesh.go
@@ -79,7 +79,7 @@
 // Start starts the log and every VM, and waits until all nodes are ready.
 func Start(c Config) (*Mesh, error) {
 	_ = os.Setenv(checker.FatalEnvironment, "1")
-	engine, err := requester.NewEngine("", nil)
+	engine, err := requester.NewEngine(nil)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/pkg/reducer/preset.go
@@ -0,0 +1,20 @@
+package reducer
+
+import "github.com/tamarackpitch/tamarackpitch/pkg/schema"
+
+// DefaultPreset returns the policy values that are in force where the operator declares none.
+// The classes are given highest first.
+func DefaultPreset(classes []string) *schema.Preset {
+	return &schema.Preset{
+		Name:              "default",
+		Classes:           classes,
+		StepIntervalMs:    700,
+		WatchMs:           2000,
+		MinCalls:          10,
+		FirstShare:        0.05,
+		FirstStepPart:     0.5,
+		RetryBudget:       0.1,
+		QueueLength:       96,
+		RollbackThreshold: 6,
+	}
+}
--- a/pkg/reducer/state.go
+++ b/pkg/reducer/state.go
@@ -31,6 +31,10 @@
 	DrainedNodes map[string]bool
 	// Verdicts are those of the last maxVerdicts records, oldest first.
 	Verdicts []*schema.Verdict
+	// Label is the operator's own name of the version, or empty.
+	Label string
+	// Limits bound what callers may send. It is nil where the configuration says nothing.
+	Limits *schema.Limits
 }
 
 // NewState returns the state before the first record.
@@ -98,6 +102,16 @@
 	return nil
 }
 
+// HasOpenVersions tells whether upstreams may announce versions that are not declared.
+func (s *State) HasOpenVersions() bool {
+	for _, service := range s.Services {
+		if service.OpenVersions {
+			return true
+		}
+	}
+	return false
+}
+
 func sortedValues[V any](m map[string]V) []V {
 	values := make([]V, 0, len(m))
 	for _, k := range slices.Sorted(maps.Keys(m)) {
@@ -118,6 +132,8 @@
 		ActivePreset: s.ActivePreset,
 		DrainedNodes: slices.Sorted(maps.Keys(s.DrainedNodes)),
 		Verdicts:     s.Verdicts,
+		Label:        s.Label,
+		Limits:       s.Limits,
 	}
 }
 
@@ -137,6 +153,8 @@
 	s.Position = m.GetPosition()
 	s.ActivePreset = m.GetActivePreset()
 	s.Verdicts = m.GetVerdicts()
+	s.Label = m.GetLabel()
+	s.Limits = m.GetLimits()
 	index(s.Services, m.GetServices(), (*schema.Service).GetName)
 	index(s.Routes, m.GetRoutes(), (*schema.Route).GetName)
 	index(s.Rollouts, m.GetRollouts(), (*schema.Rollout).GetName)
@@ -167,3 +185,11 @@
 	})
 	return routes
 }
+
+// WithRollout returns the state with one more rollout, in the place of one with the same name.
+func (s *State) WithRollout(r *schema.Rollout) *State {
+	next := *s
+	next.Rollouts = maps.Clone(s.Rollouts)
+	next.Rollouts[r.Name] = r
+	return &next
+}
--- a/pkg/reducer/validator.go
+++ b/pkg/reducer/validator.go
@@ -9,7 +9,7 @@
 // Validate checks every reference of a state.
 func Validate(s *State) error {
 	for _, service := range sortedValues(s.Services) {
-		if !slices.Contains(service.Versions, service.StableVersion) {
+		if !service.OpenVersions && !slices.Contains(service.Versions, service.StableVersion) {
 			return invalid("service %q lacks its stable version %q", service.Name, service.StableVersion)
 		}
 	}
@@ -32,8 +32,10 @@
 
 func validateRoutes(s *State) error {
 	for _, r := range sortedValues(s.Routes) {
-		if _, ok := s.Services[r.Service]; !ok {
-			return invalid("route %q names the missing service %q", r.Name, r.Service)
+		for _, service := range routeServices(r) {
+			if _, ok := s.Services[service]; !ok {
+				return invalid("route %q names the missing service %q", r.Name, service)
+			}
 		}
 		if r.Name == "" || r.PathPrefix == "" || r.PathPrefix[0] != '/' {
 			return invalid("route %q has no path prefix", r.Name)
@@ -42,13 +44,26 @@
 	return nil
 }
 
+// routeServices returns the services that a route leads to.
+func routeServices(r *schema.Route) []string {
+	if len(r.Parts) == 0 {
+		return []string{r.Service}
+	}
+	services := make([]string, len(r.Parts))
+	for i, p := range r.Parts {
+		services[i] = p.Service
+	}
+	return services
+}
+
 func validateRollouts(s *State) error {
 	open := map[string]string{}
 	for _, r := range sortedValues(s.Rollouts) {
-		if r.Phase != schema.RolloutPhase_ROLLOUT_PHASE_OPEN {
+		service, ok := s.Services[r.Service]
+		if r.Phase != schema.RolloutPhase_ROLLOUT_PHASE_OPEN || r.DurationMs > 0 && (!ok || service.OpenVersions) {
+			// An order may come before its service, and names a version that upstreams are still to announce.
 			continue
 		}
-		service, ok := s.Services[r.Service]
 		if !ok {
 			return invalid("rollout %q names the missing service %q", r.Name, r.Service)
 		}
