Tell signs of life between nodes instead of claiming idempotent calls; keep the upstream of a leaving node in use

Cause: a claim after 400 ms found calls that had just ended, and said answer-lost while the answer was on its way; a node that leaves took its upstream out of use for all of its grace time. Ruled out: slow upstreams (the trace shows 502 while the upstream is at work).

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -29,6 +29,8 @@
 const (
 	// gcPercent trades heap, which the memory limit bounds, for fewer collections.
 	gcPercent = 400
+	// drainNotice is how long before the end of its listeners a node tells the mesh to send no more calls.
+	drainNotice = 600 * time.Millisecond
 	// flushTimeout bounds the wait for the last log lines at the end of the process.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -121,7 +123,11 @@
 func (p *nodeProcess) shutDown() {
 	p.common.Logger.Info("node leaving")
 	p.controller.Load().Leave()
-	time.Sleep(p.common.Settings.LeaveDelay)
+	// The upstream stays in use until shortly before the listeners end.
+	notice := min(drainNotice, p.common.Settings.LeaveDelay)
+	time.Sleep(p.common.Settings.LeaveDelay - notice)
+	p.controller.Load().Drain()
+	time.Sleep(notice)
 	if !p.forwarder.Drain(p.common.Settings.DrainTimeout) {
 		p.common.Logger.Warn("calls cut off by the end of the drain timeout")
 	}
--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -136,7 +136,7 @@
 		m.Service = a.Service
 		m.Version = a.Version
 		m.Slots = uint32(a.Slots)
-		m.Draining = k.lease.draining() || k.leaving
+		m.Draining = k.lease.draining() || k.draining
 		m.WarmUnixMs = k.lease.warmAt.UnixMilli()
 		m.Instance, m.InstanceUnixMs = a.Instance, a.StartedUnixMs
 		m.UpstreamLeft = k.lease.leftInstance != ""
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,7 +79,9 @@
 	wanted  wantedLinks
 	view    viewCache
 	random  *rand.Rand
-	leaving bool
+	// leaving tells that the node is unready for good, draining that its upstream takes no new work either.
+	leaving  bool
+	draining bool
 
 	nextHeartbeat  time.Time
 	nextRevival    time.Time
@@ -218,11 +220,19 @@
 	k.view.dirtyTime = true
 }
 
-// Leave tells the mesh that this node takes no new work.
+// Leave makes the node unready, so that callers go elsewhere. It still takes calls.
 func (k *Controller) Leave() {
 	k.do(func() {
 		k.leaving = true
-		k.changeSelf(func(m *schema.Member) { m.Draining = true })
+		k.view.dirtyTime = true
+	})
+}
+
+// Drain tells the mesh to send no more calls to the upstream beside this node, which has left before.
+func (k *Controller) Drain() {
+	k.do(func() {
+		k.draining = true
+		k.describeUpstream()
 		k.record("node-draining", nil)
 	})
 }
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -141,6 +141,9 @@
 		}
 	}
 	f.stats.refused(reason)
+	if x.operation == "" && status != 404 {
+		x.logCall(f.callLog.failures, "call refused", "status", status, "reason", reason, "run", run)
+	}
 	text := reason + "\n"
 	m := &message{status: status, length: int64(len(text)), header: []field{
 		{key: "Content-Type", value: "text/plain"},
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -53,8 +53,8 @@
 	headSeen    bool
 	answer      *message
 	latency     time.Duration
-	// parked tells that the node has the claimed call running.
-	parked bool
+	// heardAt is when the request was sent or the node last gave a sign of life.
+	heardAt time.Time
 	// swallowed is an answer that is read but not forwarded.
 	swallowed *message
 	// verdict tells what the answer of the local upstream means.
@@ -64,21 +64,13 @@
 
 func (a *attempt) local() bool { return a.endpoint == nil }
 
-// requestID returns what the caller calls the request, or an empty text.
-func (a *attempt) requestID() string {
-	d := a.exchange.forwarder.config.Dialect
-	if d.RequestID == "" {
-		return ""
-	}
-	return a.exchange.request.message.get(d.RequestID)
-}
-
 // connected sends the request over a connection.
 func (a *attempt) connected(c *clientConn) {
 	x := a.exchange
 	a.conn = c
 	c.attempt = a
 	a.began = time.Now()
+	a.heardAt = a.began
 	head := a.requestHead()
 	if a.kind != kindCall {
 		a.requestSent = true
@@ -254,7 +246,7 @@
 
 func (a *attempt) interim(m *message) {
 	if m.status == 102 {
-		a.parked = true
+		a.heardAt = time.Now()
 	}
 }
 
@@ -269,7 +261,7 @@
 
 // isForeign tells whether the answer of the local upstream belongs to another request.
 func (a *attempt) isForeign(m *message) bool {
-	return a.kind == kindCall && a.local() && a.exchange.forwarder.config.Dialect.judge(m, a.requestID()) == answerForeign
+	return a.kind == kindCall && a.local() && a.exchange.forwarder.config.Dialect.judge(m, a.exchange.requestID()) == answerForeign
 }
 
 func (a *attempt) answerHead(m *message) {
@@ -279,7 +271,7 @@
 	a.headSeen = true
 	a.answer = m
 	if a.local() {
-		a.verdict = a.exchange.forwarder.config.Dialect.judge(m, a.requestID())
+		a.verdict = a.exchange.forwarder.config.Dialect.judge(m, a.exchange.requestID())
 	}
 	a.latency = time.Since(a.began)
 	if a.endpoint != nil {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -40,6 +40,8 @@
 	deadline    time.Time
 	// aimAt is when an answer becomes late for the caller; zero if that is not known.
 	aimAt time.Time
+	// progressAt is when a sign of life was last sent.
+	progressAt time.Time
 	// mayWait tells whether the call may wait for a slot beside the upstream that was chosen.
 	mayWait bool
 	// busy are the nodes that had no free slot for the call.
@@ -142,9 +144,9 @@
 	}
 	next := x.deadline
 	if x.queued {
-		return x.lastStart()
+		next = x.lastStart()
 	}
-	if check := now.Add(settings.SilenceAfter / 2); x.attempt != nil && check.Before(next) {
+	if check := now.Add(x.forwarder.progressInterval()); (x.attempt != nil || x.operation == operationCall) && check.Before(next) {
 		next = check
 	}
 	return next
@@ -158,6 +160,7 @@
 		return
 	}
 	now := time.Now()
+	x.tellProgress(now)
 	switch {
 	case x.headSent && now.Sub(x.lastByte) >= f.common.Settings.BodyIdleTimeout:
 		x.cut()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -72,6 +72,7 @@
 	evidence map[evidenceKey]*evidenceCount
 	crashes  crashWatch
 	transit  transitClock
+	callLog  callLog
 	// answerBytes holds the mean length of answers by route.
 	answerBytes map[string]float64
 	nextID      uint64
@@ -100,6 +101,7 @@
 		budgets:     map[budgetKey]*budgeter.Budget{},
 		samplers:    map[string]*sampler{},
 		evidence:    map[evidenceKey]*evidenceCount{},
+		callLog:     newCallLog(),
 		answerBytes: map[string]float64{},
 		transit:     transitClock{fastest: map[string]time.Duration{}},
 	}
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -154,7 +154,7 @@
 // noteRefused gives the upstream time after it has refused a call for want of room.
 func (f *Forwarder) noteRefused(a *attempt) {
 	f.stats.UpstreamRefused.Add(1)
-	f.common.Logger.Debug("upstream refused", "request", a.requestID(), "status", a.answer.status)
+	f.common.Logger.Debug("upstream refused", "request", a.exchange.requestID(), "status", a.answer.status)
 }
 
 // reachable tells whether the upstream beside this node may get new work.
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -46,6 +46,7 @@
 		return false
 	}
 	x.forwarder.stats.Retries.Add(1)
+	x.logCall(x.forwarder.callLog.retries, "call retried")
 	return true
 }
 
@@ -78,6 +79,7 @@
 
 // retryUnknown tries another upstream after an attempt that may have run.
 func (x *exchange) retryUnknown(reason string) {
+	x.logCall(x.forwarder.callLog.retries, "attempt failed", "reason", reason)
 	x.dropAttempts()
 	if x.idempotent && x.mayRetry() {
 		x.dispatch()
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -7,43 +7,58 @@
 // silentServices is how many service times an upstream may take before its connection is suspected.
 const silentServices = 5
 
-// checkSilence looks after an attempt that has given no answer for a while.
+// progressPart of the silence that is suspicious passes between two signs of life from the node that has a call.
+const progressPart = 3
+
+// progressInterval is how often a node that has a call of another one tells that it still works on it.
+func (f *Forwarder) progressInterval() time.Duration {
+	return f.common.Settings.SilenceAfter / progressPart
+}
+
+// tellProgress sends a sign of life to the node that waits for the answer.
+func (x *exchange) tellProgress(now time.Time) {
+	if x.operation != operationCall || x.caller.gone() || x.headSent || now.Sub(x.progressAt) < x.forwarder.progressInterval() {
+		return
+	}
+	x.progressAt = now
+	x.caller.conn.write([]byte("HTTP/1.1 102 Processing\r\n\r\n"))
+}
+
+// checkSilence looks after an attempt that has given no sign of life for a while.
 func (x *exchange) checkSilence(now time.Time) {
 	a := x.attempt
 	if a == nil || !a.sent || !a.requestSent || a.headSeen {
 		return
 	}
-	silence := x.forwarder.common.Settings.SilenceAfter
 	if a.local() {
-		silence = max(silence, silentServices*x.forwarder.admitter.ServiceTime())
+		x.checkUpstreamSilence(a, now)
+		return
 	}
-	if now.Sub(a.began) < silence {
+	if now.Sub(a.heardAt) < x.forwarder.common.Settings.SilenceAfter {
 		return
 	}
-	if a.kind == kindReserve {
+	switch {
+	case a.kind == kindReserve:
 		x.dropAttempts()
 		x.reserve()
-		return
-	}
-	if a.local() {
-		x.checkUpstreamSilence(a)
-		return
-	}
-	switch c := x.claim; {
-	case c == nil && x.claims < maxClaims:
-		x.startClaim(a)
-	case c != nil && !c.parked && x.idempotent && now.Sub(a.began) >= silence+silence/2:
-		// The node answers on no connection: it is frozen or cut off.
+	case x.idempotent:
+		// The node is frozen or cut off, or the connection is.
 		a.endpoint.Load.NoteFailure(now)
 		x.dropAttempts()
 		x.retryUnknown("node-silent")
+	case x.claim == nil && x.claims < maxClaims:
+		x.startClaim(a)
 	}
 }
 
 // checkUpstreamSilence sends an idempotent call again over a new connection
 // once the upstream has answered other calls since.
-func (x *exchange) checkUpstreamSilence(a *attempt) {
+func (x *exchange) checkUpstreamSilence(a *attempt, now time.Time) {
 	f := x.forwarder
+	silence := max(f.common.Settings.SilenceAfter, silentServices*f.admitter.ServiceTime())
+	if now.Sub(a.began) < silence {
+		return
+	}
 	if !x.idempotent || !a.conn.reused || x.arrivals >= x.attempts() || !x.replayable() || !f.local.lastAnswer.After(a.began) {
 		return
 	}
--- a/internal/forwarder/start.go
+++ b/internal/forwarder/start.go
@@ -21,6 +21,7 @@
 	x.started = true
 	x.startedAt = time.Now()
 	x.lastByte = x.startedAt
+	x.progressAt = x.startedAt
 	x.view = f.view.Load()
 	x.closeAfter = x.closeAfter || f.draining
 	f.calls[x] = struct{}{}
