Pace accepts on closed listeners, address claims to a process, and keep an upstream's failure for the caller

Cause: after a listener was closed the engine's accept loop spun and starved the process for 0.4 s at the end of a shutdown (calls cut though their upstreams were at work); a claim that reached a new process at an old address was answered not run. Test: claimprocess_test.go.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"runtime"
@@ -81,9 +82,10 @@
 func startNode(s settings.Node, output *logwriter.Writer) (*nodeProcess, error) {
 	p := &nodeProcess{common: newCommon(s, output)}
 	p.dialect = newDialect(p.common, p.controller.Load)
+	self := member(s)
 	var err error
 	p.forwarder, err = forwarder.New(forwarder.Config{Common: p.common, ReportCrash: p.reportCrash,
-		Dialect: p.dialect.headers, Service: s.Service})
+		Dialect: p.dialect.headers, Service: s.Service, Process: self.Process})
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +96,7 @@
 		return nil, err
 	}
 	k, err := controller.New(controller.Config{Common: p.common, Log: p.dialect.newLog(requester.New(engine)), Reduce: p.dialect.reduce,
-		Self: member(s), Evidence: p.forwarder, Publish: p.publish})
+		Self: self, Evidence: p.forwarder, Publish: p.publish})
 	if err != nil {
 		return nil, err
 	}
@@ -115,7 +117,7 @@
 }
 
 func member(s settings.Node) *schema.Member {
-	return &schema.Member{Node: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Zone: s.Zone, Region: s.Region,
+	return &schema.Member{Node: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Process: rand.Uint64(), Zone: s.Zone, Region: s.Region,
 		ControlAddress: s.ControlListen, PeerAddress: s.PeerAdvertise, AdminAddress: s.AdminListen}
 }
 
--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -6,9 +6,11 @@
 type Endpoint struct {
 	Node        string
 	Incarnation uint64
-	Zone        string
-	Service     string
-	Version     string
+	// Process is the identity of the node's process.
+	Process uint64
+	Zone    string
+	Service string
+	Version string
 	// PeerAddress takes calls from other nodes, ControlAddress takes reports.
 	PeerAddress    string
 	ControlAddress string
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -174,7 +174,7 @@
 
 func (k *Controller) endpoint(m *schema.Member) *balancer.Endpoint {
 	return &balancer.Endpoint{
-		Node: m.Node, Incarnation: m.Incarnation, Zone: m.Zone, Service: m.Service, Version: m.Version,
+		Node: m.Node, Incarnation: m.Incarnation, Process: m.Process, Zone: m.Zone, Service: m.Service, Version: m.Version,
 		PeerAddress: m.PeerAddress, ControlAddress: m.ControlAddress, Slots: m.Slots, WarmAt: time.UnixMilli(m.WarmUnixMs),
 		Suspect: m.Status == schema.MemberStatus_MEMBER_STATUS_SUSPECT, Load: k.view.load(m),
 	}
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -133,6 +133,10 @@
 	}
 	x.dropAttempts()
 	x.held = nil
+	if run == runUnknown && x.fallback != nil {
+		x.giveFallback()
+		return
+	}
 	f := x.forwarder
 	if run == runNo {
 		f.common.Checker.Assert(x.runs == 0 || x.idempotent, checker.NotRunTrue, "call %x refused as not run after %d runs", x.id, x.runs)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -204,6 +204,9 @@
 	writeField(b, headerID, strconv.FormatUint(a.id, 16))
 	a.writeTime(b)
 	writeField(b, headerService, x.service)
+	if a.kind == kindClaim {
+		writeField(b, headerProcess, strconv.FormatUint(a.endpoint.Process, 16))
+	}
 	if a.kind == kindReserve {
 		writeField(b, headerIdempotencyKey, x.key)
 		writeField(b, headerOwner, x.view.Node)
@@ -282,7 +285,11 @@
 
 func (a *attempt) answerBody(data []byte) {
 	x := a.exchange
-	if a.ended || a.swallowed != nil {
+	if a.ended {
+		return
+	}
+	if a.swallowed != nil {
+		x.keepFallback(a, data)
 		return
 	}
 	x.lastByte = time.Now()
--- a/internal/forwarder/claim.go
+++ b/internal/forwarder/claim.go
@@ -1,6 +1,9 @@
 package forwarder
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // maxClaims bounds the questions for the fate of one attempt.
 const maxClaims = 3
@@ -84,6 +87,11 @@
 // answerClaim tells another node what became of a call it sent here.
 func (x *exchange) answerClaim() {
 	f := x.forwarder
+	if process := x.request.message.get(headerProcess); process != strconv.FormatUint(f.config.Process, 16) {
+		// The process that took the call is gone, and what it did with the call is not known here.
+		x.refuse(502, "process-gone", runUnknown)
+		return
+	}
 	key := ledgerKey(x.id)
 	e, known := f.ids.get(key)
 	if known {
--- /dev/null
+++ b/internal/forwarder/claimprocess_test.go
@@ -0,0 +1,43 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestClaimMeantForAnotherProcess asks a node for the fate of a call that an earlier process at its address took:
+// what became of it is not known, so that the node must not say that it has not run.
+func TestClaimMeantForAnotherProcess(t *testing.T) {
+	node := newNode(t, "restarted")
+	node.publish(viewConfig{})
+	_, peers := node.Addresses()
+	c, err := net.Dial("tcp", peers)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST /claim HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n"+
+		"Tamarackpitch-Operation: claim\r\nTamarackpitch-Id: 7\r\nTamarackpitch-Time-Left: 1000\r\nTamarackpitch-Process: abc\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	answer, err := io.ReadAll(c)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(answer), qt.Contains, "Tamarackpitch-Run: unknown")
+}
+
+// TestFailureIsKeptWhileNoOtherUpstreamTakesTheCall lets the only upstream fail: the caller gets its answer.
+func TestFailureIsKeptWhileNoOtherUpstreamTakesTheCall(t *testing.T) {
+	d := sealedDialect()
+	beside := newNodeWith(t, "beside", d)
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		http.Error(w, "broken", http.StatusInternalServerError)
+	})
+	beside.publish(viewConfig{endpoints: beside.endpoints("v1"), local: u.local("v1")})
+	r := do("GET", beside.url("/get"), "", "X-Id", "1")
+	qt.Assert(t, r.status, qt.Equals, http.StatusInternalServerError)
+	qt.Assert(t, strings.TrimSpace(r.body), qt.Equals, "broken")
+}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/http"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
@@ -118,6 +119,9 @@
 	}
 	if x.swallows(a, m) {
 		a.swallowed = m
+		if m.status == http.StatusInternalServerError && m.get(headerRun) == "" && a.verdict == answerGood {
+			x.fallback = &heldAnswer{message: m, fromPeer: !a.local()}
+		}
 		return
 	}
 	x.dropClaim()
@@ -151,7 +155,7 @@
 
 // prefersRetry tells whether a failure that the upstream itself answered is worth another try.
 func (x *exchange) prefersRetry(m *message) bool {
-	return m.status == 500 && x.idempotent && x.forwarder.config.Dialect.Seal != "" && x.mayTryAgain() &&
+	return m.status == http.StatusInternalServerError && x.idempotent && x.forwarder.config.Dialect.Seal != "" && x.mayTryAgain() &&
 		x.forwarder.budget(x.service, x.route.Class).Holds()
 }
 
@@ -229,6 +233,9 @@
 		x.attempt = nil
 	}
 	x.held = nil
+	if x.fallback != nil && x.fallback.message == a.swallowed {
+		x.fallback = nil
+	}
 	switch a.kind {
 	case kindClaim:
 		a.finish()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -71,6 +71,8 @@
 	arrivals int
 	// held is an answer that is gathered before it goes to the caller.
 	held *heldAnswer
+	// fallback is a failure of an upstream that is given to the caller if no other upstream takes the call.
+	fallback *heldAnswer
 	// lastNode is the node that the call was last sent to.
 	lastNode string
 	// lastRefusal is why the last try did not run.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,6 +30,8 @@
 	// defaultQueueLength serves where the preset gives none.
 	defaultQueueLength = 64
 	sweepInterval      = time.Second
+	// acceptPause follows a failed accept.
+	acceptPause = 50 * time.Millisecond
 )
 
 // Config builds a Forwarder.
@@ -41,6 +43,8 @@
 	Dialect Dialect
 	// Service is the service on whose VM this node runs, if it is known beforehand.
 	Service string
+	// Process is the random identity of this process, by which other nodes recognise it.
+	Process uint64
 }
 
 // Forwarder carries the calls of one node.
@@ -126,12 +130,16 @@
 	f.engine.OnClose(f.onClose)
 	f.engine.OnRead(f.onRead)
 	f.engine.OnWrittenSize(onWritten)
+	f.engine.OnAcceptError(paceAccepts)
 	if err := f.engine.Start(); err != nil {
 		return &Error{Operation: "listen", Kind: KindListen, Detail: err.Error()}
 	}
 	return nil
 }
 
+// paceAccepts keeps the engine from trying without a pause, as it does once a listener is closed.
+func paceAccepts(error) { time.Sleep(acceptPause) }
+
 func (f *Forwarder) listenOne(network, address string) (net.Listener, error) {
 	l, err := net.Listen(network, address)
 	if err != nil {
--- a/internal/forwarder/held.go
+++ b/internal/forwarder/held.go
@@ -46,3 +46,23 @@
 	}
 	x.release()
 }
+
+// keepFallback takes a piece of the body of a failure that is kept. One that is too long is not kept.
+func (x *exchange) keepFallback(a *attempt, data []byte) {
+	h := x.fallback
+	if h == nil || h.message != a.swallowed {
+		return
+	}
+	if len(h.body)+len(data) > maxHeldBytes {
+		x.fallback = nil
+		return
+	}
+	h.body = append(h.body, data...)
+}
+
+// giveFallback answers with the failure that an upstream gave, since no other one has taken the call.
+func (x *exchange) giveFallback() {
+	x.held = x.fallback
+	x.fallback = nil
+	x.writeEnd("")
+}
--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -34,6 +34,17 @@
 }
 
 func newNode(t *testing.T, name string) *testNode {
+	t.Helper()
+	return newNodeWith(t, name, forwarder.OwnDialect())
+}
+
+// sealedDialect has every header that a deployment may have.
+func sealedDialect() forwarder.Dialect {
+	return forwarder.Dialect{RequestID: "X-Id", TimeLeft: "X-Time-Left", CallerService: "X-Caller", ExpectInstance: "X-Instance",
+		NotExecuted: "X-Not-Run", Seal: "X-Seal", CrashStatus: http.StatusServiceUnavailable, RetryAfter: true}
+}
+
+func newNodeWith(t *testing.T, name string, d forwarder.Dialect) *testNode {
 	t.Helper()
 	n := &testNode{name: name, crashes: make(chan []uint64, 16)}
 	n.common = &common.Common{
@@ -45,7 +56,7 @@
 		}}),
 		Recorder: recorder.New(name, time.Now),
 	}
-	f, err := forwarder.New(forwarder.Config{Common: n.common, ReportCrash: func(f []uint64) { n.crashes <- f }})
+	f, err := forwarder.New(forwarder.Config{Common: n.common, Dialect: d, ReportCrash: func(f []uint64) { n.crashes <- f }})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(f.Close)
 	n.Forwarder = f
@@ -62,6 +73,10 @@
 	return endpoint(n.name, version, peers)
 }
 
+func (n *testNode) endpoints(version string) []*balancer.Endpoint {
+	return []*balancer.Endpoint{n.endpoint(version)}
+}
+
 func endpoint(name, version, address string) *balancer.Endpoint {
 	return &balancer.Endpoint{Node: name, Zone: "a", Service: "s", Version: version, PeerAddress: address, Slots: 4, Load: &balancer.Load{}}
 }
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -19,6 +19,8 @@
 	headerID = "Tamarackpitch-Id"
 	// headerTimeLeft is the time left for the call, in milliseconds.
 	headerTimeLeft = "Tamarackpitch-Time-Left"
+	// headerProcess is the identity of the process that a claim is meant for.
+	headerProcess = "Tamarackpitch-Process"
 	// headerSentAt is the sender's steady time at which the call was sent, in milliseconds, and
 	// headerSender the sender's name and incarnation. Together they show how long a call was held up on its way.
 	headerSentAt      = "Tamarackpitch-Sent-At"
