--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -2,7 +2,9 @@
 // once those that would wait in vain.
 //
 // It answers load beyond the upstream's slots: the queue holds no more than can still be answered in time,
-// higher ranks go first and push out lower ones, and what is turned away learns it before it has waited.
+// higher ranks go first and push out lower ones, and what is turned away learns it before it has waited. Calls of
+// one rank share the bound on waiting of the most urgent, so that short calls, on which running ones depend, and long
+// ones are turned away equally often.
 package admitter
 
 import (
@@ -39,13 +41,23 @@
 	queueLength int
 	// inFlight counts items that hold a slot. It may exceed slots after the slots were lowered.
 	inFlight int
-	// queues holds the waiting items by rank, 0 being the highest priority.
+	// queues holds the waiting items by rank, 0 being the highest priority, oldest first.
 	queues [][]T
 	queued int
 	// service is the moving average of the time that an item holds its slot.
 	service time.Duration
+	// shortest is the time for which the most urgent item of late could wait, and shortestAt when it came.
+	shortest   time.Duration
+	shortestAt time.Time
 }
 
+const (
+	// patienceMemory is how long the most urgent item counts.
+	patienceMemory = time.Second
+	// minPatience bounds the effect of one item that comes almost too late.
+	minPatience = 50 * time.Millisecond
+)
+
 // serviceWeight is the weight of a new service time in the moving average.
 const serviceWeight = 0.1
 
@@ -80,7 +92,7 @@
 		a.inFlight++
 		return Granted, evicted, false
 	}
-	if !c.MayWait || a.slots == 0 || !c.LatestStart.IsZero() && now.Add(a.Wait(c.Rank)).After(c.LatestStart) {
+	if !c.MayWait || a.slots == 0 || !c.LatestStart.IsZero() && a.wait(c.Rank) > a.patience(c, now) {
 		return Refused, evicted, false
 	}
 	if a.queued >= a.queueLength {
@@ -97,11 +109,8 @@
 	return Queued, evicted, hasEvicted
 }
 
-// Wait estimates how long an item of a rank would wait for a slot.
-func (a *Admitter[T]) Wait(rank int) time.Duration {
-	if a.inFlight < a.slots && a.queued == 0 || a.slots == 0 {
-		return 0
-	}
+// wait estimates how long an item of a rank would wait for a slot.
+func (a *Admitter[T]) wait(rank int) time.Duration {
 	ahead := max(a.inFlight-a.slots, 0) + 1
 	for r := 0; r <= rank && r < len(a.queues); r++ {
 		ahead += len(a.queues[r])
@@ -109,6 +118,15 @@
 	return time.Duration(ahead) * a.service / time.Duration(a.slots)
 }
 
+// patience returns how long an item may wait: its own time, and no longer than the most urgent of late.
+func (a *Admitter[T]) patience(c Claim, now time.Time) time.Duration {
+	own := c.LatestStart.Sub(now)
+	if own <= a.shortest || now.Sub(a.shortestAt) > patienceMemory {
+		a.shortest, a.shortestAt = max(own, minPatience), now
+	}
+	return min(own, a.shortest)
+}
+
 // evictBelow takes out the newest waiting item of the lowest priority below rank.
 func (a *Admitter[T]) evictBelow(rank int) (item T, ok bool) {
 	for r := len(a.queues) - 1; r > rank; r-- {
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -77,6 +77,9 @@
 	}
 	if x.caller.fromPeer {
 		load, service := x.forwarder.localLoad()
+		if x.forwarder.starved(time.Now()) {
+			writeField(b, headerStarved, "1")
+		}
 		writeField(b, headerLoad, fmt.Sprintf("%d %.1f", load, service.Seconds()*1000))
 	}
 	b.WriteString("\r\n")
@@ -146,6 +149,7 @@
 	}
 	f.stats.refused(reason)
 	if x.operation == "" && status != 404 {
+		f.starvedAt = time.Now()
 		x.logCall(f.callLog.failures, "call refused", "status", status, "reason", reason, "run", run)
 	}
 	text := reason + "\n"
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -135,7 +135,7 @@
 // swallows tells whether an answer leads to another try, or to a refusal, instead of going to the caller.
 func (x *exchange) swallows(a *attempt, m *message) bool {
 	if a.local() {
-		return a.verdict != answerGood || x.prefersRetry(m)
+		return a.verdict != answerGood || x.prefersRetry(a, m)
 	}
 	switch m.get(headerRun) {
 	case runNo:
@@ -150,11 +150,14 @@
 	case runUnknown:
 		return x.idempotent && x.mayTryAgain()
 	}
-	return x.prefersRetry(m)
+	return x.prefersRetry(a, m)
 }
 
 // prefersRetry tells whether a failure that the upstream itself answered is worth another try.
-func (x *exchange) prefersRetry(m *message) bool {
+func (x *exchange) prefersRetry(a *attempt, m *message) bool {
+	if a.local() && x.forwarder.starved(time.Now()) || m.get(headerStarved) != "" {
+		return false
+	}
 	return m.status == http.StatusInternalServerError && x.idempotent && x.forwarder.config.Dialect.Seal != "" && x.mayTryAgain() &&
 		x.forwarder.budget(x.service, x.route.Class).Holds()
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -83,6 +83,8 @@
 	// sender names this process to other nodes.
 	sender   string
 	draining bool
+	// starvedAt is when a call that entered here was last turned away.
+	starvedAt time.Time
 }
 
 // New listens and starts the poller.
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -55,6 +55,10 @@
 	runUnknown = "unknown"
 )
 
+// headerStarved tells, with an upstream's failure, that calls which it depends on were turned away lately,
+// so that another upstream would fail as well.
+const headerStarved = "Tamarackpitch-Starved"
+
 const waitNo = "no"
 
 // field is one header line.
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -104,3 +104,9 @@
 	}
 	return b
 }
+
+// starvedTime is how long after a refusal at a node the failures of its upstream are put down to it.
+const starvedTime = time.Second
+
+// starved tells whether calls that entered here, such as those that the upstream depends on, were turned away lately.
+func (f *Forwarder) starved(now time.Time) bool { return now.Sub(f.starvedAt) < starvedTime }
