--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
@@ -32,7 +33,7 @@
 		x.tried = map[string]bool{}
 	}
 	x.tried[e.Node] = true
-	x.lastNode = e.Node
+	x.lastNode, x.lastZone = e.Node, e.Zone
 	x.mayWait = x.busy[e.Node]
 	x.version = e.Version
 	if e.Node == x.view.Node {
@@ -42,8 +43,12 @@
 	x.sendPeer(e, operationCall)
 }
 
-// noteBusy lets a node be chosen again that had no free slot, then for its queue.
+// noteBusy lets a node be chosen again that had no free slot, then for its queue. Calls do not queue in
+// another zone: there they would only displace that zone's own.
 func (x *exchange) noteBusy(node string) {
+	if x.lastZone != x.forwarder.common.Settings.Zone && x.hasOwnZone() {
+		return
+	}
 	if x.busy == nil {
 		x.busy = map[string]bool{}
 	}
@@ -51,6 +56,13 @@
 	delete(x.tried, node)
 }
 
+// hasOwnZone tells whether an upstream of the own zone may take the call.
+func (x *exchange) hasOwnZone() bool {
+	s := x.view.Services[x.service]
+	own := func(e *balancer.Endpoint) bool { return e.Zone == x.forwarder.common.Settings.Zone }
+	return s != nil && (slices.ContainsFunc(s.Endpoints, own) || slices.ContainsFunc(s.Trial, own))
+}
+
 // choose returns an endpoint that has not been tried yet, or nil.
 func (x *exchange) choose(s *router.Service) *balancer.Endpoint {
 	f := x.forwarder
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -73,8 +73,9 @@
 	held *heldAnswer
 	// fallback is a failure of an upstream that is given to the caller if no other upstream takes the call.
 	fallback *heldAnswer
-	// lastNode is the node that the call was last sent to.
+	// lastNode is the node that the call was last sent to, in the zone lastZone.
 	lastNode string
+	lastZone string
 	// lastRefusal is why the last try did not run.
 	lastRefusal string
 	// claimed is the attempt whose fate the claim asks for.
--- a/internal/forwarder/zonecost.go
+++ b/internal/forwarder/zonecost.go
@@ -9,7 +9,7 @@
 const (
 	// costPerByte is the time that a caller may wait for an answer rather than have one byte of it carried
 	// between availability zones, since operators pay for these bytes.
-	costPerByte = 20 * time.Microsecond
+	costPerByte = 60 * time.Microsecond
 	// defaultAnswerBytes stands for the length of a route's answers before the first is seen.
 	defaultAnswerBytes = 4 << 10
 	// answerWeight is the weight of a new length in the moving average.
