--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -46,6 +46,8 @@
 	queued int
 	// service is the moving average of the time that an item holds its slot.
 	service time.Duration
+	// served counts the items whose time is in service.
+	served int
 	// shortest is the time for which the most urgent item of late could wait, and shortestAt when it came.
 	shortest   time.Duration
 	shortestAt time.Time
@@ -78,11 +80,10 @@
 
 // NoteService takes in for how long an item held its slot.
 func (a *Admitter[T]) NoteService(d time.Duration) {
-	if a.service == 0 {
-		a.service = d
-		return
-	}
-	a.service += time.Duration(serviceWeight * float64(d-a.service))
+	a.served++
+	// The first few count alike, so that a single odd one does not stand for long.
+	weight := max(serviceWeight, 1/float64(a.served))
+	a.service += time.Duration(weight * float64(d-a.service))
 }
 
 // Enter asks for a slot. Where the queue is full, a waiting item of lower priority
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -11,12 +11,13 @@
 )
 
 const (
-	// coldFactor multiplies the service time of an upstream in its cold start.
-	coldFactor = 2
+	// ColdFactor multiplies the service time of an upstream in its cold start.
+	ColdFactor = 2
 	// suspectCost is added for an endpoint whose node misses its heartbeats.
 	suspectCost = time.Second
-	// defaultServiceTime stands for that of an endpoint that has not answered yet.
-	defaultServiceTime = 100 * time.Millisecond
+	// defaultServiceTime stands for that of an endpoint that has not answered yet. It is short, so that a new
+	// endpoint is tried at once; its slots bound what it gets.
+	defaultServiceTime = time.Millisecond
 	// sampleSize bounds the endpoints that are compared of each group, own zone and others.
 	sampleSize = 16
 )
@@ -89,9 +90,9 @@
 
 // expected is the time until a call that is sent now is done: the wait for a slot and the service.
 func (e *Endpoint) expected(now time.Time) time.Duration {
-	service := e.Load.ServiceTime()
+	service := e.Load.ServiceTime(now)
 	if now.Before(e.WarmAt) {
-		service *= coldFactor
+		service *= ColdFactor
 	}
 	slots := max(int(e.Slots), 1)
 	expected := service
--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // serviceWeight is the weight of a new service time in the moving average.
 const serviceWeight = 0.1
@@ -12,6 +15,8 @@
 	ejectMax        = 4 * time.Second
 	// hintLifetime is how long a reported load counts.
 	hintLifetime = time.Second
+	// serviceLifetime is how long a service time counts in full, and then the time in which it halves.
+	serviceLifetime = 1500 * time.Millisecond
 )
 
 // Load is what one node sees of one endpoint. The traffic goroutine's lock guards it.
@@ -19,6 +24,8 @@
 	// Outstanding counts calls of this node that have no answer yet. It is never negative.
 	Outstanding int
 	service     time.Duration
+	// learnedAt is when service was last told or measured.
+	learnedAt   time.Time
 	failures    int
 	ejectedFor  time.Duration
 	ejectedTill time.Time
@@ -38,17 +45,18 @@
 func (l *Load) Cancel() { l.Outstanding-- }
 
 // Succeed notes an answer after some time.
-func (l *Load) Succeed(latency time.Duration) {
+func (l *Load) Succeed(latency time.Duration, now time.Time) {
 	l.Outstanding--
 	l.failures = 0
 	l.ejectedFor = 0
 	if l.hintAt.IsZero() {
 		// The latency stands for the service time until the endpoint tells it.
-		l.noteService(latency)
+		l.noteService(latency, now)
 	}
 }
 
-func (l *Load) noteService(service time.Duration) {
+func (l *Load) noteService(service time.Duration, now time.Time) {
+	l.learnedAt = now
 	if l.service == 0 {
 		l.service = service
 		return
@@ -56,12 +64,17 @@
 	l.service += time.Duration(serviceWeight * float64(service-l.service))
 }
 
-// ServiceTime is the time that the endpoint needs for a call once it has a slot.
-func (l *Load) ServiceTime() time.Duration {
+// ServiceTime is the time that the endpoint needs for a call once it has a slot. What was learned long ago
+// counts less and less, so that an endpoint that was slow, as in its cold start, is tried again.
+func (l *Load) ServiceTime(now time.Time) time.Duration {
 	if l.service == 0 {
 		return defaultServiceTime
 	}
-	return l.service
+	age := now.Sub(l.learnedAt) - serviceLifetime
+	if age <= 0 {
+		return l.service
+	}
+	return time.Duration(float64(l.service) * math.Exp2(-float64(age)/float64(serviceLifetime)))
 }
 
 // Fail notes the end of a call by a lost or refused connection.
@@ -88,6 +101,7 @@
 	l.sent = 0
 	if service > 0 {
 		l.service = service
+		l.learnedAt = now
 	}
 }
 
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -192,7 +192,7 @@
 	}
 	if a.local() {
 		x.forwarder.local.lastAnswer = now
-		x.forwarder.admitter.NoteService(now.Sub(a.began))
+		x.forwarder.noteService(now.Sub(a.began), now)
 		x.forwarder.countOutcome(x, a)
 		x.localAnswerEnd(a)
 		return
@@ -233,7 +233,7 @@
 func (a *attempt) settleLoad(now time.Time, outcome string) {
 	switch outcome {
 	case "":
-		a.endpoint.Load.Succeed(a.latency)
+		a.endpoint.Load.Succeed(a.latency, now)
 	case runNo:
 		a.endpoint.Load.Cancel()
 	default:
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/admitter"
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/checker"
 	"github.com/tamarackpitch/tamarackpitch/internal/router"
 )
@@ -99,6 +100,15 @@
 	return x.deadline.Add(-x.forwarder.admitter.ServiceTime() / 2)
 }
 
+// noteService takes in the time of a call at the upstream. What it took in a cold start is reduced to
+// what it would have taken after it.
+func (f *Forwarder) noteService(d time.Duration, now time.Time) {
+	if l := f.local.upstream; l != nil && now.Before(l.WarmAt) {
+		d /= balancer.ColdFactor
+	}
+	f.admitter.NoteService(d)
+}
+
 // localLoad returns the calls that run or wait beside this node's upstream, and the mean time of one.
 func (f *Forwarder) localLoad() (load int, service time.Duration) {
 	return f.admitter.InFlight() + f.admitter.Queued(), f.admitter.ServiceTime()
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -16,6 +16,8 @@
 	routeCalls = 4
 	// holdShare of the rollback threshold keeps a rollout on its step until the suspicion fades.
 	holdShare = 0.4
+	// evidenceTime is how long a controller gathers evidence of its own before a near deadline hurries it.
+	evidenceTime = 2 * time.Second
 	// minStep bounds how much a near deadline shortens a step.
 	minStep = 500 * time.Millisecond
 	// defaultFirstShare serves where no preset is in force.
@@ -129,7 +131,7 @@
 // urgent tells that the steps left, at their shortest, take all the time that is left. A version that gets
 // no calls is not held back then: nothing speaks against it.
 func (t *Trial) urgent(now time.Time) bool {
-	if t.config.Rollout.DurationMs == 0 {
+	if t.config.Rollout.DurationMs == 0 || now.Sub(t.config.Now) < evidenceTime {
 		return false
 	}
 	shortest := time.Duration(LastStep(t.config.Preset)-t.step)*minStep + t.watch()
