--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -29,7 +29,7 @@
 
 const (
 	// gcPercent trades heap, which the memory limit bounds, for fewer collections.
-	gcPercent = 400
+	gcPercent = 100
 	// drainNotice is how long before the end of its listeners a node tells the mesh to send no more calls.
 	drainNotice = 600 * time.Millisecond
 	// flushTimeout bounds the wait for the last log lines at the end of the process.
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -11,7 +11,7 @@
 
 const (
 	// readWait is how long a read of the log waits for new records.
-	readWait = 5 * time.Second
+	readWait = 12 * time.Second
 	// idleCheck is how often a node that is no reader looks whether it has become one.
 	idleCheck = 200 * time.Millisecond
 	// maxReadBackoff bounds the pause after failed reads.
