Judge by odds, bound the margin, and give each step time for its evidence

Cause: a version that failed 45 of 84 calls on one route was not rolled back for 0.8 s more, since the old one failed often too (overload): three times its rate is no rate at all, and the margin doubled the threshold. Steps were shorter than it takes to report and judge what they show.

--- a/internal/roller/measure.go
+++ b/internal/roller/measure.go
@@ -9,7 +9,8 @@
 	floor float64
 	// badRate is the lowest rate of a bad version.
 	badRate float64
-	// badRatio is the least ratio of a bad version's rate to the old one's.
+	// badRatio is the least ratio of a bad version's odds to the old one's. Odds keep their meaning where
+	// the old version fails often, as under overload.
 	badRatio float64
 }
 
@@ -20,8 +21,12 @@
 	slowness      = measure{name: "slow-rate", floor: 0.02, badRate: 0.15, badRatio: 3}
 )
 
-// marginFactor scales the margin of measures whose events are frequent by nature.
-const marginFactor = 1.5
+const (
+	// marginFactor scales the margin of measures whose events are frequent by nature.
+	marginFactor = 1.5
+	// maxMargin keeps a version that is clearly worse from hiding behind an old one that fails often.
+	maxMargin = 3
+)
 
 // maxRate keeps rates away from 1, where the likelihood of a good call would be zero.
 const maxRate = 0.95
@@ -29,7 +34,8 @@
 // rates returns the assumed rate of a good and of a bad version, from the old version's rate.
 func (m measure) rates(old float64) (good, bad float64) {
 	good = min(max(old, m.floor), maxRate*maxRate)
-	bad = min(max(m.badRate, m.badRatio*good), maxRate)
+	odds := m.badRatio * good / (1 - good)
+	bad = min(max(m.badRate, odds/(1+odds)), maxRate)
 	return good, bad
 }
 
@@ -51,7 +57,7 @@
 		return
 	}
 	good, bad := m.rates(old)
-	c.margin = marginFactor * math.Log(good/m.floor)
+	c.margin = min(marginFactor*math.Log(good/m.floor), maxMargin)
 	others := max(calls-events, 0)
 	c.score += events*math.Log(bad/good) + others*math.Log((1-bad)/(1-good))
 	c.score = max(c.score, 0)
--- a/pkg/reducer/preset.go
+++ b/pkg/reducer/preset.go
@@ -8,13 +8,13 @@
 	return &schema.Preset{
 		Name:              "default",
 		Classes:           classes,
-		StepIntervalMs:    700,
+		StepIntervalMs:    1200,
 		WatchMs:           2000,
 		MinCalls:          10,
 		FirstShare:        0.05,
-		FirstStepPart:     0.5,
+		FirstStepPart:     0.45,
 		RetryBudget:       0.1,
 		QueueLength:       96,
-		RollbackThreshold: 6,
+		RollbackThreshold: 5,
 	}
 }
