--- /dev/null
+++ b/internal/forwarder/dialect_test.go
@@ -0,0 +1,70 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+var testDialect = Dialect{RequestID: "X-Id", TimeLeft: "X-Time-Left", NotExecuted: "X-Not-Run", ExpectInstance: "X-Instance", Seal: "X-Seal"}
+
+func TestJudge(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		header []field
+		want   answerVerdict
+	}{
+		{"sealed success", 200, []field{{"X-Id", "a"}, {"X-Seal", "s"}}, answerGood},
+		{"success without a seal", 200, []field{{"X-Id", "a"}}, answerBad},
+		{"success with an encoding", 200, []field{{"X-Id", "a"}, {"X-Seal", "s"}, {"Content-Encoding", "gzip"}}, answerBad},
+		{"success without an id", 200, []field{{"X-Seal", "s"}}, answerBad},
+		{"late answer to another request", 200, []field{{"X-Id", "b"}, {"X-Seal", "s"}}, answerForeign},
+		{"failure of the upstream", 500, []field{{"X-Id", "a"}, {"X-Seal", "s"}}, answerGood},
+		{"refusal that has not run", 503, []field{{"X-Not-Run", "1"}}, answerNotRun},
+		{"another incarnation", 421, nil, answerNotRun},
+		{"503 that may have run", 503, []field{{"X-Id", "a"}}, answerBad},
+		{"429 that may have run", 429, []field{{"X-Id", "a"}}, answerBad},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := testDialect.judge(&message{status: test.status, header: test.header}, "a")
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestWeightsHoldOverFewCalls divides 60 calls: no part is off by more than two.
+func TestWeightsHoldOverFewCalls(t *testing.T) {
+	for seed := range uint64(50) {
+		f := &Forwarder{samplers: map[string]*sampler{}, random: rand.New(rand.NewPCG(seed, 1))}
+		r := &schema.Route{Name: "r", Parts: []*schema.Part{{Service: "a", Weight: 70}, {Service: "b", Weight: 30}, {Service: "c"}}}
+		counts := map[string]int{}
+		const calls = 60
+		for range calls {
+			counts[f.chooseService(r)]++
+		}
+		qt.Assert(t, counts["c"], qt.Equals, 0)
+		qt.Assert(t, counts["a"] >= 40 && counts["a"] <= 44, qt.IsTrue, qt.Commentf("seed %d: %v", seed, counts))
+	}
+}
+
+// TestHeldUpCallIsRecognised sends calls with an ordinary delay, and one that a cut link held up.
+func TestHeldUpCallIsRecognised(t *testing.T) {
+	clock := transitClock{fastest: map[string]time.Duration{}}
+	sent := func(at time.Duration) *message {
+		return &message{header: []field{{headerSender, "n"}, {headerSentAt, strconv.FormatInt(at.Milliseconds(), 10)}}}
+	}
+	receive := func(sentAt, delay time.Duration) time.Duration {
+		return clock.heldUp(sent(sentAt), processStart.Add(time.Hour+sentAt+delay))
+	}
+	qt.Assert(t, receive(0, 2*time.Millisecond), qt.Equals, time.Duration(0))
+	qt.Assert(t, receive(time.Second, 20*time.Millisecond), qt.Equals, time.Duration(0))
+	qt.Assert(t, receive(2*time.Second, 3002*time.Millisecond), qt.Equals, 3*time.Second)
+	qt.Assert(t, receive(9*time.Second, time.Millisecond), qt.Equals, time.Duration(0))
+}
