--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -16,8 +16,10 @@
 	lowWater  = 64 << 10
 	// tcpCloseWait is the state of a connection whose peer has sent everything.
 	tcpCloseWait = 8
-	// userTimeout is how long sent bytes may stay unacknowledged, in milliseconds.
-	userTimeout = 5000
+	// callerUserTimeout and serverUserTimeout are how long bytes sent to callers, and to nodes and upstreams,
+	// may stay unacknowledged, in milliseconds. A slow caller may hold its answer back for a while.
+	callerUserTimeout = 5000
+	serverUserTimeout = 1000
 )
 
 // owner is the part that reads a connection's messages.
@@ -56,18 +58,22 @@
 	n := &conn{forwarder: f, c: c, owner: o, reader: newReader(o, client)}
 	c.SetSession(n)
 	_ = c.SetNoDelay(true)
-	n.setUserTimeout()
+	if client {
+		n.setUserTimeout(serverUserTimeout)
+	} else {
+		n.setUserTimeout(callerUserTimeout)
+	}
 	return n
 }
 
 // setUserTimeout makes the kernel end a connection whose peer no longer acknowledges.
-func (n *conn) setUserTimeout() {
+func (n *conn) setUserTimeout(milliseconds int) {
 	raw, err := n.c.SyscallConn()
 	if err != nil {
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeout)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
 	})
 }
 
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -4,8 +4,9 @@
 	"time"
 )
 
-// silentServices is how many service times an upstream may take before its connection is suspected.
-const silentServices = 5
+// silentServices is how many service times an upstream may take before its connection is suspected. Single
+// calls may take far longer than the mean.
+const silentServices = 12
 
 // progressPart of the silence that is suspicious passes between two signs of life from the node that has a call.
 const progressPart = 3
