--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -31,7 +31,7 @@
 	// gcPercent trades heap, which the memory limit bounds, for fewer collections.
 	gcPercent = 100
 	// drainNotice is how long before the end of its listeners a node tells the mesh to send no more calls.
-	drainNotice = 600 * time.Millisecond
+	drainNotice = 400 * time.Millisecond
 	// flushTimeout bounds the wait for the last log lines at the end of the process.
 	flushTimeout = 200 * time.Millisecond
 )
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -16,6 +16,10 @@
 	// reviveInterval is how often a node of a large mesh tries to reach a member that is held dead;
 	// in a small mesh it is done with every heartbeat.
 	reviveInterval = 10 * time.Second
+	// revivals is how many absent members are tried at a time.
+	revivals = 3
+	// restartTime is how long a member that has left is expected back.
+	restartTime = 30 * time.Second
 )
 
 // assignDuties takes up or lays down the duties that fall to this node by rendezvous hashing.
@@ -73,7 +77,8 @@
 	go (&rejoiner{controller: k}).run()
 }
 
-// revive dials a member that is held dead, in case only the way to it was lost.
+// revive dials members that are gone: only the way to them may have been lost, and one that was restarted
+// while the log is away finds the mesh in no other way.
 func (k *Controller) revive(now time.Time) {
 	if now.Before(k.nextRevival) {
 		return
@@ -81,8 +86,9 @@
 	if k.table.Len() > smallMesh {
 		k.nextRevival = now.Add(reviveInterval)
 	}
-	if dead := k.table.Dead(); len(dead) > 0 {
-		k.dial(dead[k.random.IntN(len(dead))].ControlAddress, now)
+	absent := k.table.Absent(now, restartTime)
+	for _, i := range k.random.Perm(len(absent))[:min(len(absent), revivals)] {
+		k.dial(absent[i].ControlAddress, now)
 	}
 }
 
--- a/internal/controller/start.go
+++ b/internal/controller/start.go
@@ -12,7 +12,7 @@
 	// peersToTrust is the number of peers whose positions stand in for the log while it is down.
 	peersToTrust = 3
 	// logGrace is how long a starting node waits for the log before peers alone will do.
-	logGrace  = 2 * time.Second
+	logGrace  = 500 * time.Millisecond
 	joinRetry = time.Second
 )
 
--- a/internal/registrar/table.go
+++ b/internal/registrar/table.go
@@ -237,13 +237,26 @@
 
 // Dead returns the members that are held dead. Members that have left are not among them.
 func (t *Table) Dead() []*schema.Member {
-	var dead []*schema.Member
+	return t.gone(func(e *entry) bool { return e.member.Status == schema.MemberStatus_MEMBER_STATUS_DEAD })
+}
+
+// Absent returns the members that are held dead, and those that have left no longer ago than a time:
+// a node that leaves for a restart is back soon.
+func (t *Table) Absent(now time.Time, restart time.Duration) []*schema.Member {
+	return t.gone(func(e *entry) bool {
+		return e.member.Status == schema.MemberStatus_MEMBER_STATUS_DEAD || now.Sub(e.since) <= restart
+	})
+}
+
+// gone returns the members that are dead or have left and fit, sorted by name.
+func (t *Table) gone(fits func(*entry) bool) []*schema.Member {
+	var members []*schema.Member
 	for _, name := range slices.Sorted(maps.Keys(t.timed)) {
-		if m := t.timed[name].member; m.Status == schema.MemberStatus_MEMBER_STATUS_DEAD {
-			dead = append(dead, m)
+		if e := t.timed[name]; isGone(e.member) && fits(e) {
+			members = append(members, e.member)
 		}
 	}
-	return dead
+	return members
 }
 
 // Revision returns a number that grows with every change of the table.
--- a/internal/registrar/table_test.go
+++ b/internal/registrar/table_test.go
@@ -86,3 +86,25 @@
 	qt.Assert(t, a.Get("c"), qt.IsNil)
 	qt.Assert(t, a.Merge(b.Get("c"), start.Add(3*time.Hour)), qt.IsNil)
 }
+
+// TestAbsentMembers lets one member leave and one die: the one that left is expected back for a while.
+func TestAbsentMembers(t *testing.T) {
+	now := time.Now()
+	table := registrar.New(registrar.Config{Self: &schema.Member{Node: "self"}, DeadAfter: time.Second}, now)
+	for _, m := range []*schema.Member{{Node: "leaves", Incarnation: 1}, {Node: "dies", Incarnation: 1}, {Node: "stays", Incarnation: 1}} {
+		table.Merge(m, now)
+	}
+	table.Merge(&schema.Member{Node: "leaves", Incarnation: 1, Sequence: 1, Status: schema.MemberStatus_MEMBER_STATUS_LEFT}, now)
+	table.Suspect("dies", now)
+	later := now.Add(2 * time.Second)
+	table.Tick(later)
+	names := func(at time.Time) (all []string) {
+		for _, m := range table.Absent(at, 10*time.Second) {
+			all = append(all, m.Node)
+		}
+		return all
+	}
+	qt.Assert(t, names(later), qt.DeepEquals, []string{"dies", "leaves"})
+	qt.Assert(t, names(now.Add(time.Minute)), qt.DeepEquals, []string{"dies"})
+	qt.Assert(t, len(table.Dead()), qt.Equals, 1)
+}
