Do not blame a version that takes all traffic for failures for want of other services

Test: TestGoodVersionUnderOverload fails before; TestBadVersionUnderOverload and TestBadUnderLoad hold the exposure.

--- a/internal/forwarder/evidence.go
+++ b/internal/forwarder/evidence.go
@@ -17,8 +17,10 @@
 
 // evidenceCount counts outcomes since the last report.
 type evidenceCount struct {
-	calls      uint64
-	failures   uint64
+	calls    uint64
+	failures uint64
+	// starved counts the failures that came while calls of the upstream itself were turned away.
+	starved    uint64
 	rejections uint64
 	latencies  [roller.LatencyBuckets]uint64
 }
@@ -52,6 +54,9 @@
 	switch {
 	case a.answer.status >= 500:
 		e.failures++
+		if f.starved(time.Now()) {
+			e.starved++
+		}
 	case a.answer.status >= 400:
 		e.rejections++
 	}
@@ -87,7 +92,7 @@
 			all = append(all, r)
 		}
 		r.Evidence = append(r.Evidence, &schema.Evidence{Route: key.route, Version: key.version, Calls: count.calls,
-			Failures: count.failures, Rejections: count.rejections, LatencyBuckets: count.latencies[:]})
+			Failures: count.failures, Rejections: count.rejections, StarvedFailures: count.starved, LatencyBuckets: count.latencies[:]})
 	}
 	return all
 }
--- a/internal/roller/trial.go
+++ b/internal/roller/trial.go
@@ -108,18 +108,27 @@
 		e := t.pending[0].evidence
 		t.pending = t.pending[1:]
 		r := t.route(e.Route)
-		r.addNew(e, &t.service)
+		r.addNew(e, t.blamed(e), &t.service)
 		t.judge(e.Route, r)
 	}
 }
 
-func (r *routeTrial) addNew(e *schema.Evidence, service *baseline) {
+// blamed returns the failures that count against the new version. Once it takes all traffic there is no old one
+// to compare with at the same time, so that failures for want of other services are left out.
+func (t *Trial) blamed(e *schema.Evidence) uint64 {
+	if t.step < LastStep(t.config.Preset) {
+		return e.Failures
+	}
+	return e.Failures - min(e.StarvedFailures, e.Failures)
+}
+
+func (r *routeTrial) addNew(e *schema.Evidence, failed uint64, service *baseline) {
 	r.newCalls += e.Calls
-	r.newFailures += e.Failures
+	r.newFailures += failed
 	calls := float64(e.Calls)
 	old := r.old.rate(failureEvents, service, failures.floor)
-	r.failed.add(failures, float64(e.Failures), calls, old)
-	r.grossFailed.add(grossFailures, float64(e.Failures), calls, old)
+	r.failed.add(failures, float64(failed), calls, old)
+	r.grossFailed.add(grossFailures, float64(failed), calls, old)
 	old = r.old.rate(rejectionEvents, service, rejections.floor)
 	r.rejected.add(rejections, float64(e.Rejections), calls, old)
 	r.addLatencies(e)
