--- a/internal/forwarder/calllog.go
+++ b/internal/forwarder/calllog.go
@@ -35,11 +35,19 @@
 	}
 	pairs = append(pairs, "request", x.requestID(), "service", x.service, "tries", x.tries, "arrivals", x.arrivals,
 		"runs", x.runs, "last-node", x.lastNode, "age-ms", time.Since(x.startedAt).Milliseconds(),
-		"left-ms", time.Until(x.deadline).Milliseconds(), "config", x.view.Version, "omitted", f.callLog.omitted)
+		"left-ms", x.timeLeft().Milliseconds(), "config", x.view.Version, "omitted", f.callLog.omitted)
 	f.callLog.omitted = 0
 	f.common.Logger.Info(event, pairs...)
 }
 
+// timeLeft returns the time until the call's deadline, or 0 where that is not known yet.
+func (x *exchange) timeLeft() time.Duration {
+	if x.deadline.IsZero() {
+		return 0
+	}
+	return time.Until(x.deadline)
+}
+
 // requestID returns what the caller calls the request, or an empty text.
 func (x *exchange) requestID() string {
 	if name := x.forwarder.config.Dialect.RequestID; name != "" {
