Let callers that come back wait with the others

Callers that come back are late already; served first they make newcomers late or turn them away, who then come back in turn.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -187,7 +187,6 @@
 	writeField(b, headerRoute, x.route.Name)
 	writeField(b, headerService, x.service)
 	writeField(b, headerVersion, a.endpoint.Version)
-	writeField(b, headerRank, strconv.Itoa(x.rank))
 	writeField(b, headerFingerprint, strconv.FormatUint(x.fingerprint, 16))
 	if !x.mayWait {
 		writeField(b, headerWait, waitNo)
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -35,8 +35,6 @@
 	headerLoad = "Tamarackpitch-Load"
 	// headerWait tells a node that the call may not wait for a slot, with the value waitNo.
 	headerWait = "Tamarackpitch-Wait"
-	// headerRank is the call's place among those that wait; 0 goes first.
-	headerRank = "Tamarackpitch-Rank"
 	// headerAimLeft is the time left until an answer is late, in milliseconds. It is absent where it is late already.
 	headerAimLeft = "Tamarackpitch-Aim-Left"
 
--- a/internal/forwarder/start.go
+++ b/internal/forwarder/start.go
@@ -62,7 +62,7 @@
 	x.service = f.chooseService(x.route)
 	x.idempotent = x.route.Idempotent
 	x.setDeadline(x.callerDeadline())
-	x.rank = x.entryRank()
+	x.rank = x.view.Rank(x.route.Class)
 	x.aimAt = x.callerAim()
 	x.startRouted()
 }
@@ -189,7 +189,7 @@
 	x.service = m.get(headerService)
 	x.route = x.findRoute(m.get(headerRoute), x.service)
 	x.idempotent = x.route.Idempotent
-	x.rank = x.peerRank(m)
+	x.rank = x.view.Rank(x.route.Class)
 	x.version = m.get(headerVersion)
 	x.fingerprint, _ = strconv.ParseUint(m.get(headerFingerprint), 16, 64)
 	x.setDeadline(deadline)
