--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
--- a/internal/forwarder/comeback.go
+++ b/internal/forwarder/comeback.go
@@ -20,7 +20,7 @@
 	if status != http.StatusServiceUnavailable || x.operation != "" || !x.forwarder.config.Dialect.RetryAfter {
 		return "", false
 	}
-	left := x.deadline.Sub(time.Now())
+	left := time.Until(x.deadline)
 	if x.route == nil {
 		left, _ = timeLeft(x.request.message, x.forwarder.config.Dialect.TimeLeft)
 	}
--- a/internal/logclient/configlog.go
+++ b/internal/logclient/configlog.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-
 	"time"
 
 	"google.golang.org/protobuf/proto"
