Draw on the retry budget once for each upstream that saw the call

Cause (logs of the incident): after a first upstream had failed, each node that was asked for a free slot cost a token, up to five for one call, though none of them reached an upstream. Test: TestBudgetIsDrawnOnOnceForEachUpstream fails before.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -69,6 +69,8 @@
 	tried map[string]bool
 	// arrivals counts the attempts that have reached an upstream, refused ones included.
 	arrivals int
+	// paidArrivals are the arrivals for which the retry budget has been drawn on. It is at most arrivals.
+	paidArrivals int
 	// held is an answer that is gathered before it goes to the caller.
 	held *heldAnswer
 	// fallback is a failure of an upstream that is given to the caller if no other upstream takes the call.
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -34,17 +34,19 @@
 		x.replayable() && time.Now().Before(x.deadline)
 }
 
-// mayRetry tells whether another node may be tried, and draws on the budget once an upstream has seen the call.
+// mayRetry tells whether another node may be tried. It draws on the budget once for each upstream that has
+// seen the call, however many nodes are asked after it.
 func (x *exchange) mayRetry() bool {
 	if !x.mayTryAgain() {
 		return false
 	}
-	if x.arrivals == 0 {
+	if x.arrivals <= x.paidArrivals {
 		return true
 	}
 	if !x.forwarder.budget(x.service, x.route.Class).Spend() {
 		return false
 	}
+	x.paidArrivals = x.arrivals
 	x.forwarder.stats.Retries.Add(1)
 	x.logCall(x.forwarder.callLog.retries, "call retried")
 	return true
--- /dev/null
+++ b/internal/forwarder/retry_test.go
@@ -0,0 +1,44 @@
+package forwarder
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/budgeter"
+	"github.com/tamarackpitch/tamarackpitch/internal/common"
+	"github.com/tamarackpitch/tamarackpitch/internal/router"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// TestBudgetIsDrawnOnOnceForEachUpstream asks several nodes for a free slot after one upstream has seen the call:
+// only what reaches upstreams counts.
+func TestBudgetIsDrawnOnOnceForEachUpstream(t *testing.T) {
+	f := &Forwarder{budgets: map[budgetKey]*budgeter.Budget{}, callLog: newCallLog(), common: &common.Common{Logger: hclog.NewNullLogger()}}
+	x := &exchange{forwarder: f, caller: &serverConn{}, route: &schema.Route{Attempts: 3}, view: &router.Snapshot{},
+		request: request{message: &message{}, complete: true}, startedAt: time.Now(), deadline: time.Now().Add(time.Minute)}
+	spent := func(tries int) int {
+		whole := budgeter.New()
+		f.budgets[budgetKey{}] = budgeter.New()
+		for range tries {
+			qt.Assert(t, x.mayRetry(), qt.IsTrue)
+		}
+		left, all := 0, 0
+		for f.budgets[budgetKey{}].Spend() {
+			left++
+		}
+		for whole.Spend() {
+			all++
+		}
+		return all - left
+	}
+	qt.Assert(t, spent(4), qt.Equals, 0)
+	x.arrivals = 1
+	qt.Assert(t, spent(4), qt.Equals, 1)
+	x.arrivals = 2
+	qt.Assert(t, spent(4), qt.Equals, 1)
+	x.arrivals = 3
+	qt.Assert(t, x.mayRetry(), qt.IsFalse)
+}
