--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -56,7 +56,7 @@
 		}}),
 		Recorder: recorder.New(name, time.Now),
 	}
-	f, err := forwarder.New(forwarder.Config{Common: n.common, Dialect: d, ReportCrash: func(f []uint64) { n.crashes <- f }})
+	f, err := forwarder.New(forwarder.Config{Common: n.common, Dialect: d, Service: "desk-of-" + name, ReportCrash: func(f []uint64) { n.crashes <- f }})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(f.Close)
 	n.Forwarder = f
