--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -26,6 +26,12 @@
 // exitUsage is the exit code of a command line that can't be used.
 const exitUsage = 2
 
+// Where flags get their values besides the command line, for the commands and for reloads alike.
+var (
+	settingsFromEnvironment = kong.DefaultEnvars("TAMARACKPITCH")
+	settingsFromFile        = kong.Configuration(settings.Loader)
+)
+
 // Main parses the arguments, runs the command and returns the exit code.
 func Main(arguments []string, stdout, stderr io.Writer) int {
 	line := &commandLine{}
@@ -33,8 +39,8 @@
 	parser, err := kong.New(line,
 		kong.Name("tamarackpitch"),
 		kong.Description("Distributes the configuration of a service mesh and carries its calls."),
-		kong.DefaultEnvars("TAMARACKPITCH"),
-		kong.Configuration(settings.Loader),
+		settingsFromEnvironment,
+		settingsFromFile,
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(code int) { exit = code }),
 		kong.BindTo(stdout, (*io.Writer)(nil)),
--- a/internal/app/reloader.go
+++ b/internal/app/reloader.go
@@ -83,15 +83,15 @@
 
 // readSettings reads a settings file as the node command does at its start.
 func readSettings(path string) (settings.Node, error) {
-	line := &struct{ Node Node }{}
-	arguments := []string{}
+	node := &Node{}
+	var arguments []string
 	if path != "" {
 		arguments = append(arguments, "--settings="+path)
 	}
-	parser, err := kong.New(&line.Node, kong.DefaultEnvars("TAMARACKPITCH"), kong.Configuration(settings.Loader))
+	parser, err := kong.New(node, settingsFromEnvironment, settingsFromFile)
 	if err != nil {
 		return settings.Node{}, err
 	}
 	_, err = parser.Parse(arguments)
-	return line.Node.Node, err
+	return node.Node, err
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -38,22 +38,16 @@
 	ZoneCost time.Duration
 }
 
-// Choice is an endpoint with the time after which the call is expected to be done there.
-type Choice struct {
-	Endpoint *Endpoint
-	Expected time.Duration
-}
-
-// Choose returns the best endpoint, or a Choice without one. Ejected endpoints come last.
-func (b Balancer) Choose(endpoints []*Endpoint, c Call, now time.Time) Choice {
-	if choice := b.choose(endpoints, c, now, false); choice.Endpoint != nil {
-		return choice
+// Choose returns the best endpoint, or nil. Ejected endpoints come last.
+func (b Balancer) Choose(endpoints []*Endpoint, c Call, now time.Time) *Endpoint {
+	if e := b.choose(endpoints, c, now, false); e != nil {
+		return e
 	}
 	return b.choose(endpoints, c, now, true)
 }
 
-func (b Balancer) choose(endpoints []*Endpoint, c Call, now time.Time, ejected bool) Choice {
-	var best Choice
+func (b Balancer) choose(endpoints []*Endpoint, c Call, now time.Time, ejected bool) *Endpoint {
+	var best *Endpoint
 	var bestCost time.Duration
 	var own, others int
 	n := len(endpoints)
@@ -66,13 +60,12 @@
 		if c.Skip(e) || e.Load.Ejected(now) != ejected || !b.sampled(e, &own, &others) {
 			continue
 		}
-		expected := e.expected(now)
-		cost := expected
+		cost := e.expected(now)
 		if e.Zone != b.Zone {
 			cost += c.ZoneCost
 		}
-		if best.Endpoint == nil || cost < bestCost {
-			best, bestCost = Choice{Endpoint: e, Expected: expected}, cost
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
 		}
 	}
 	return best
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -47,8 +47,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			choice := newBalancer().Choose(test.endpoints, balancer.Call{Skip: keepAll, ZoneCost: test.zoneCost}, now)
-			qt.Assert(t, choice.Endpoint.Node, qt.Equals, test.want)
+			chosen := newBalancer().Choose(test.endpoints, balancer.Call{Skip: keepAll, ZoneCost: test.zoneCost}, now)
+			qt.Assert(t, chosen.Node, qt.Equals, test.want)
 		})
 	}
 }
@@ -59,8 +59,8 @@
 	slow, fast := told("slow", ownZone, 0, 600*time.Millisecond, now), told("fast", ownZone, 0, 100*time.Millisecond, now)
 	for after := time.Duration(0); after < 20*time.Second; after += 500 * time.Millisecond {
 		fast.Load.Hint(0, 100*time.Millisecond, now.Add(after))
-		c := newBalancer().Choose([]*balancer.Endpoint{slow, fast}, balancer.Call{Skip: keepAll}, now.Add(after))
-		if c.Endpoint == slow {
+		chosen := newBalancer().Choose([]*balancer.Endpoint{slow, fast}, balancer.Call{Skip: keepAll}, now.Add(after))
+		if chosen == slow {
 			qt.Assert(t, after > 2*time.Second, qt.IsTrue)
 			return
 		}
@@ -76,9 +76,9 @@
 		bad.Load.NoteFailure(now)
 	}
 	b := newBalancer()
-	c := b.Choose([]*balancer.Endpoint{bad, good}, balancer.Call{Skip: keepAll}, now)
-	qt.Assert(t, c.Endpoint, qt.Equals, good)
+	chosen := b.Choose([]*balancer.Endpoint{bad, good}, balancer.Call{Skip: keepAll}, now)
+	qt.Assert(t, chosen, qt.Equals, good)
 	onlyBad := func(e *balancer.Endpoint) bool { return e == good }
-	c = b.Choose([]*balancer.Endpoint{bad, good}, balancer.Call{Skip: onlyBad}, now)
-	qt.Assert(t, c.Endpoint, qt.Equals, bad)
+	chosen = b.Choose([]*balancer.Endpoint{bad, good}, balancer.Call{Skip: onlyBad}, now)
+	qt.Assert(t, chosen, qt.Equals, bad)
 }
--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -161,8 +161,5 @@
 func (k *Controller) announceSelf() {
 	self := k.table.Self()
 	log := k.config.Log
-	queued := k.appender.queue(appendJob{what: "join", write: func(ctx context.Context) error { return log.Announce(ctx, self) }})
-	if !queued {
-		k.common.Logger.Warn("announcement not queued", "reason", "too many writes wait for the log")
-	}
+	k.appender.queue(appendJob{what: "join", write: func(ctx context.Context) error { return log.Announce(ctx, self) }})
 }
--- a/internal/controller/appender.go
+++ b/internal/controller/appender.go
@@ -47,18 +47,18 @@
 	<-a.done
 }
 
-// queueRecord queues a configuration record. It reports false if the queue is full.
-func (a *appender) queueRecord(what string, r *schema.Record) bool {
+// queueRecord queues a configuration record.
+func (a *appender) queueRecord(what string, r *schema.Record) {
 	log := a.controller.config.Log
-	return a.queue(appendJob{what: what, write: func(ctx context.Context) error { return log.Append(ctx, r) }})
+	a.queue(appendJob{what: what, write: func(ctx context.Context) error { return log.Append(ctx, r) }})
 }
 
-func (a *appender) queue(j appendJob) bool {
+// queue queues a job. One that finds the queue full is dropped and logged; its owner queues it again.
+func (a *appender) queue(j appendJob) {
 	select {
 	case a.jobs <- j:
-		return true
 	default:
-		return false
+		a.controller.common.Logger.Warn("write dropped", "record", j.what, "reason", "too many writes wait for the log")
 	}
 }
 
--- a/internal/forwarder/comeback.go
+++ b/internal/forwarder/comeback.go
@@ -20,7 +20,7 @@
 	if status != http.StatusServiceUnavailable || x.operation != "" || !x.forwarder.config.Dialect.RetryAfter {
 		return "", false
 	}
-	left := time.Until(x.deadline)
+	left := x.timeLeft()
 	if x.route == nil {
 		left, _ = timeLeft(x.request.message, x.forwarder.config.Dialect.TimeLeft)
 	}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -74,10 +74,10 @@
 		endpoints, others = others, endpoints
 	}
 	f.hintOwnLoad(endpoints, now)
-	if c := f.balancer.Choose(endpoints, call, now); c.Endpoint != nil || !onTrial {
-		return c.Endpoint
+	if e := f.balancer.Choose(endpoints, call, now); e != nil || !onTrial {
+		return e
 	}
-	return f.balancer.Choose(others, call, now).Endpoint
+	return f.balancer.Choose(others, call, now)
 }
 
 // hintOwnLoad lets the choice see the load of this node's own upstream.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,8 +70,6 @@
 	// Refused holds the fingerprints of requests that crash upstreams.
 	Refused map[uint64]bool
 	Members int
-	// Limits bound what callers may send. It is nil where the configuration says nothing.
-	Limits *schema.Limits
 
 	// routes by host; those for any host are under the empty name.
 	routes map[string]routeIndex
