Take over connections between two fetches of events, so that no event meets a later connection

Cause: the loop fetches many events and finds their connections by descriptor. TestResetOfAnEarlierConnection shows it every time without the change. Change: internal/poller; accepted and dialled connections join the loop at a wake-up that was sent after they were opened.

--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -96,14 +96,14 @@
 // full tells that the source of the output should pause until onDrained.
 func (n *conn) full() bool { return n.pending.Load() > highWater }
 
-// written is called by the engine, with or without the forwarder's lock.
+// written is called by the poller, with or without the forwarder's lock.
 func (n *conn) written(count int) {
 	left := n.pending.Add(-int64(count))
 	if left <= lowWater && n.above.CompareAndSwap(true, false) {
-		n.forwarder.engine.Async(n.drained)
+		n.forwarder.poller.Async(n.drained)
 	}
 	if left == 0 && n.lingering.Load() {
-		n.forwarder.engine.Async(n.closeLocked)
+		n.forwarder.poller.Async(n.closeLocked)
 	}
 }
 
@@ -139,7 +139,7 @@
 	}
 	n.paused = false
 	if n.unread {
-		n.forwarder.engine.Async(n.readAgain)
+		n.forwarder.poller.Async(n.readAgain)
 	}
 }
 
@@ -178,7 +178,7 @@
 	}
 }
 
-// peerFinished tells that the peer has sent everything: the engine closes the connection after
+// peerFinished tells that the peer has sent everything: the poller closes the connection after
 // this event, so that what the kernel still holds must be read now.
 func (n *conn) peerFinished() bool {
 	raw, err := n.c.SyscallConn()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -1,6 +1,6 @@
 // Package forwarder carries calls: from a caller to the node beside the chosen upstream, to the upstream and back.
 //
-// One poller goroutine of nbio runs all connections; timers and the control goroutine join it
+// The poller's loop runs all connections; timers and the control goroutine join it
 // under one lock. HTTP is parsed by nbhttp's parser, and long bodies stream.
 package forwarder
 
@@ -14,12 +14,12 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/admitter"
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/budgeter"
 	"github.com/tamarackpitch/tamarackpitch/internal/common"
+	"github.com/tamarackpitch/tamarackpitch/internal/poller"
 	"github.com/tamarackpitch/tamarackpitch/internal/router"
 )
 
@@ -30,8 +30,6 @@
 	// defaultQueueLength serves where the preset gives none.
 	defaultQueueLength = 64
 	sweepInterval      = time.Second
-	// acceptPause follows a failed accept.
-	acceptPause = 50 * time.Millisecond
 )
 
 // Config builds a Forwarder.
@@ -49,15 +47,15 @@
 
 // Forwarder carries the calls of one node.
 type Forwarder struct {
-	config   Config
-	common   *common.Common
-	engine   *nbio.Engine
-	stop     chan struct{}
-	done     chan struct{}
-	listener [2]net.Listener
-	peerPort int
-	view     atomic.Pointer[router.Snapshot]
-	stats    Stats
+	config Config
+	common *common.Common
+	poller *poller.Poller
+	stop   chan struct{}
+	done   chan struct{}
+	// acceptors take the connections of callers and of other nodes.
+	acceptors [2]*acceptor
+	view      atomic.Pointer[router.Snapshot]
+	stats     Stats
 
 	// mu guards everything below and every connection and call.
 	mu       sync.Mutex
@@ -116,65 +114,48 @@
 	f.sender = c.Common.Settings.Name + "/" + strconv.FormatUint(f.random.Uint64(), 36)
 	f.view.Store(&router.Snapshot{Reason: "starting"})
 	if err := f.listen(); err != nil {
+		f.closeListeners()
 		return nil, err
 	}
 	go f.run()
 	return f, nil
 }
 
-// listen starts the engine on both call addresses.
+// listen starts the poller and accepts on both call addresses.
 func (f *Forwarder) listen() error {
-	logging.SetLevel(logging.LevelNone)
-	addresses := []string{f.common.Settings.Listen, f.common.Settings.PeerListen}
-	f.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: addresses, NPoller: 1, ReadBufferSize: readBufferBytes,
-		EpollMod: nbio.EPOLLET, Listen: f.listenOne})
-	f.engine.OnOpen(f.onOpen)
-	f.engine.OnClose(f.onClose)
-	f.engine.OnRead(f.onRead)
-	f.engine.OnWrittenSize(onWritten)
-	f.engine.OnAcceptError(paceAccepts)
-	if err := f.engine.Start(); err != nil {
+	var err error
+	f.poller, err = poller.New(poller.Config{OnClose: f.onClose, OnRead: f.onRead, OnWritten: onWritten})
+	if err != nil {
 		return &Error{Operation: "listen", Kind: KindListen, Detail: err.Error()}
 	}
-	return nil
-}
-
-// paceAccepts keeps the engine from trying without a pause, as it does once a listener is closed.
-func paceAccepts(error) { time.Sleep(acceptPause) }
-
-func (f *Forwarder) listenOne(network, address string) (net.Listener, error) {
-	l, err := net.Listen(network, address)
-	if err != nil {
-		return nil, err
+	for i, address := range []string{f.common.Settings.Listen, f.common.Settings.PeerListen} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return &Error{Operation: "listen", Kind: KindListen, Detail: err.Error()}
+		}
+		f.acceptors[i] = &acceptor{forwarder: f, listener: l, fromPeers: i == 1, done: make(chan struct{})}
 	}
-	if f.listener[0] == nil {
-		f.listener[0] = l
-	} else {
-		f.listener[1] = l
-		f.peerPort = l.Addr().(*net.TCPAddr).Port
+	for _, a := range f.acceptors {
+		go a.run()
 	}
-	return l, nil
+	return nil
 }
 
 // Addresses returns the addresses listened on for callers and for other nodes.
 func (f *Forwarder) Addresses() (callers, peers string) {
-	return f.listener[0].Addr().String(), f.listener[1].Addr().String()
+	return f.acceptors[0].listener.Addr().String(), f.acceptors[1].listener.Addr().String()
 }
 
-// onOpen is called for accepted connections, and with the lock held for dialled ones, which have their session.
-func (f *Forwarder) onOpen(c *nbio.Conn) {
-	if c.Session() != nil {
-		return
+// closeListeners refuses new connections.
+func (f *Forwarder) closeListeners() {
+	for _, a := range f.acceptors {
+		if a != nil {
+			_ = a.listener.Close()
+		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	fromPeer := c.LocalAddr().(*net.TCPAddr).Port == f.peerPort
-	s := &serverConn{forwarder: f, fromPeer: fromPeer, openedAt: time.Now()}
-	s.conn = newConn(f, c, s, false)
-	f.callers[s] = struct{}{}
 }
 
-// onClose is called by the engine on a goroutine of its own.
+// onClose is called by the poller on a goroutine of its own.
 func (f *Forwarder) onClose(c *nbio.Conn, err error) {
 	if n, ok := c.Session().(*conn); ok {
 		f.mu.Lock()
@@ -191,9 +172,9 @@
 	}
 }
 
-func onWritten(c *nbio.Conn, _ []byte, n int) {
-	if session, ok := c.Session().(*conn); ok {
-		session.written(n)
+func onWritten(c *nbio.Conn, count int) {
+	if n, ok := c.Session().(*conn); ok {
+		n.written(count)
 	}
 }
 
@@ -252,9 +233,7 @@
 	f.mu.Lock()
 	f.draining = true
 	f.mu.Unlock()
-	for _, l := range f.listener {
-		_ = l.Close()
-	}
+	f.closeListeners()
 	deadline := time.Now().Add(timeout)
 	for time.Now().Before(deadline) {
 		if f.closeIdle(time.Now()) {
@@ -280,17 +259,18 @@
 
 // Close ends all parts at once.
 func (f *Forwarder) Close() {
-	for _, l := range f.listener {
-		_ = l.Close()
-	}
+	f.closeListeners()
 	close(f.stop)
 	<-f.done
-	go (&engineStopper{engine: f.engine}).run()
+	for _, a := range f.acceptors {
+		<-a.done
+	}
+	go (&pollerStopper{poller: f.poller}).run()
 }
 
-// engineStopper ends an engine beside its owner, since the engine waits for every connection's last callback.
-type engineStopper struct {
-	engine *nbio.Engine
+// pollerStopper ends a poller beside its owner, since the poller waits for every connection's last callback.
+type pollerStopper struct {
+	poller *poller.Poller
 }
 
-func (s *engineStopper) run() { s.engine.Stop() }
+func (s *pollerStopper) run() { s.poller.Stop() }
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net"
 	"slices"
 	"time"
 
@@ -91,8 +92,22 @@
 }
 
 func (d *dialing) run() {
+	f := d.pool.forwarder
+	c, err := net.DialTimeout("tcp", d.pool.address, dialTimeout)
+	if err == nil {
+		err = f.poller.Add(c, d.opened)
+	}
+	if err == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d.fail(err)
+}
+
+// opened is called by the poller once it runs the connection.
+func (d *dialing) opened(c *nbio.Conn, err error) {
 	p := d.pool
-	c, err := nbio.DialTimeout("tcp", p.address, dialTimeout)
 	p.forwarder.mu.Lock()
 	defer p.forwarder.mu.Unlock()
 	if err != nil {
@@ -101,10 +116,6 @@
 	}
 	n := &clientConn{forwarder: p.forwarder, pool: p}
 	n.conn = newConn(p.forwarder, c, n, true)
-	if _, err := p.forwarder.engine.AddConn(c); err != nil {
-		d.fail(err)
-		return
-	}
 	if d.attempt.ended {
 		p.put(n)
 		return
