Let short calls go first within a rank, and bound each call's wait by its own aim

All calls of a ledger shared the bound on waiting of the most urgent (50 ms), with one mean service time for checks of 40 ms and payments of 210 ms. Change: service times by kind; within a rank the much shorter call goes first, then those that can still be in time; the wait is estimated from the work ahead and from what will come and go before; a call has its slot one and a half service times before its aim or is refused.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -2,15 +2,12 @@
 // once those that would wait in vain.
 //
 // It answers load beyond the upstream's slots: the queue holds no more than can still be answered in time,
-// higher ranks go first and push out lower ones, and what is turned away learns it before it has waited. Calls of
-// one rank share the bound on waiting of the most urgent, so that short calls, on which running ones depend, and long
-// ones are turned away equally often.
+// higher ranks go first and push out lower ones, and what is turned away learns it before it has waited. Within a
+// rank short calls, such as those on which running ones depend, go before long ones: they need little room, and
+// what waits for them holds a slot elsewhere.
 package admitter
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Verdict tells what became of a request for a slot.
 type Verdict int
@@ -29,40 +26,37 @@
 type Claim struct {
 	// Rank orders the items; 0 goes first.
 	Rank int
+	// Kind names the items that are alike in the time for which they hold a slot.
+	Kind string
 	// MayWait tells whether the item may wait for a slot.
 	MayWait bool
-	// LatestStart is when the item should have a slot. It is refused if it would wait longer. Zero is any time.
-	LatestStart time.Time
+	// Aim is when an answer becomes late. Zero is never.
+	Aim time.Time
+	// Deadline is when nobody waits for the answer any more. Zero is never. An item is refused if
+	// it would get its slot too late for the aim, or if it is too late for that anyway, for the deadline.
+	Deadline time.Time
 }
 
+const (
+	// aimServices is how many mean service times before its aim an item should have a slot, since many take longer
+	// than the mean.
+	aimServices = 1.5
+	// deadlineServices is how many mean service times before its deadline an item must have a slot.
+	deadlineServices = 0.5
+)
+
 // Admitter hands out slots. It is not safe for concurrent use.
 type Admitter[T comparable] struct {
 	slots       int
 	queueLength int
 	// inFlight counts items that hold a slot. It may exceed slots after the slots were lowered.
 	inFlight int
-	// queues holds the waiting items by rank, 0 being the highest priority, oldest first.
-	queues [][]T
-	queued int
-	// service is the moving average of the time that an item holds its slot.
-	service time.Duration
-	// served counts the items whose time is in service.
-	served int
-	// shortest is the time for which the most urgent item of late could wait, and shortestAt when it came.
-	shortest   time.Duration
-	shortestAt time.Time
+	// queue holds the waiting items. It is empty while a slot is free.
+	queue queue[T]
+	times serviceTimes
+	flows flows
 }
 
-const (
-	// patienceMemory is how long the most urgent item counts.
-	patienceMemory = time.Second
-	// minPatience bounds the effect of one item that comes almost too late.
-	minPatience = 50 * time.Millisecond
-)
-
-// serviceWeight is the weight of a new service time in the moving average.
-const serviceWeight = 0.1
-
 // SetLimits changes the number of slots and the longest queue.
 func (a *Admitter[T]) SetLimits(slots, queueLength int) {
 	a.slots = slots
@@ -73,74 +67,70 @@
 func (a *Admitter[T]) InFlight() int { return a.inFlight }
 
 // Queued returns the number of waiting items.
-func (a *Admitter[T]) Queued() int { return a.queued }
+func (a *Admitter[T]) Queued() int { return len(a.queue.waiters) }
 
 // ServiceTime returns the time for which an item holds its slot on average, or 0 if none has.
-func (a *Admitter[T]) ServiceTime() time.Duration { return a.service }
-
-// NoteService takes in for how long an item held its slot.
-func (a *Admitter[T]) NoteService(d time.Duration) {
-	a.served++
-	// The first few count alike, so that a single odd one does not stand for long.
-	weight := max(serviceWeight, 1/float64(a.served))
-	a.service += time.Duration(weight * float64(d-a.service))
-}
+func (a *Admitter[T]) ServiceTime() time.Duration { return a.times.all.mean }
+
+// NoteService takes in for how long an item of a kind held its slot.
+func (a *Admitter[T]) NoteService(kind string, d time.Duration) { a.times.note(kind, d) }
 
 // Enter asks for a slot. Where the queue is full, a waiting item of lower priority
 // makes room and is returned as evicted.
 func (a *Admitter[T]) Enter(item T, c Claim, now time.Time) (verdict Verdict, evicted T, hasEvicted bool) {
-	if a.inFlight < a.slots && a.queued == 0 {
+	o := order{rank: c.Rank, service: a.times.of(c.Kind)}
+	start := a.latestStart(c, &o, now)
+	if a.inFlight < a.slots && a.Queued() == 0 {
 		a.inFlight++
+		a.noteFlow(c, o, now)
 		return Granted, evicted, false
 	}
-	if !c.MayWait || a.slots == 0 || !c.LatestStart.IsZero() && a.wait(c.Rank) > a.patience(c, now) {
+	if !c.MayWait || a.slots == 0 || !start.IsZero() && a.wait(o, now) > start.Sub(now) {
 		return Refused, evicted, false
 	}
-	if a.queued >= a.queueLength {
-		evicted, hasEvicted = a.evictBelow(c.Rank)
+	if a.Queued() >= a.queueLength {
+		evicted, hasEvicted = a.queue.lastBelow(c.Rank)
 		if !hasEvicted {
 			return Refused, evicted, false
 		}
 	}
-	for len(a.queues) <= c.Rank {
-		a.queues = append(a.queues, nil)
-	}
-	a.queues[c.Rank] = append(a.queues[c.Rank], item)
-	a.queued++
+	a.noteFlow(c, o, now)
+	a.queue.add(waiter[T]{item: item, order: o})
 	return Queued, evicted, hasEvicted
 }
 
-// wait estimates how long an item of a rank would wait for a slot.
-func (a *Admitter[T]) wait(rank int) time.Duration {
-	ahead := max(a.inFlight-a.slots, 0) + 1
-	for r := 0; r <= rank && r < len(a.queues); r++ {
-		ahead += len(a.queues[r])
+// latestStart returns when an item must get its slot, and notes in its order whether it is late by now.
+func (a *Admitter[T]) latestStart(c Claim, o *order, now time.Time) time.Time {
+	if !c.Aim.IsZero() {
+		start := c.Aim.Add(-time.Duration(aimServices * float64(o.service)))
+		if now.Before(start) {
+			return start
+		}
+		o.late = true
 	}
-	return time.Duration(ahead) * a.service / time.Duration(a.slots)
+	return a.LastStart(c)
 }
 
-// patience returns how long an item may wait: its own time, and no longer than the most urgent of late.
-func (a *Admitter[T]) patience(c Claim, now time.Time) time.Duration {
-	own := c.LatestStart.Sub(now)
-	if own <= a.shortest || now.Sub(a.shortestAt) > patienceMemory {
-		a.shortest, a.shortestAt = max(own, minPatience), now
+// LastStart returns when an item must have a slot to be answered before its deadline, or zero for any time.
+func (a *Admitter[T]) LastStart(c Claim) time.Time {
+	if c.Deadline.IsZero() {
+		return time.Time{}
 	}
-	return min(own, a.shortest)
+	return c.Deadline.Add(-time.Duration(deadlineServices * float64(a.times.of(c.Kind))))
 }
 
-// evictBelow takes out the newest waiting item of the lowest priority below rank.
-func (a *Admitter[T]) evictBelow(rank int) (item T, ok bool) {
-	for r := len(a.queues) - 1; r > rank; r-- {
-		n := len(a.queues[r])
-		if n == 0 {
-			continue
-		}
-		item = a.queues[r][n-1]
-		a.queues[r] = a.queues[r][:n-1]
-		a.queued--
-		return item, true
-	}
-	return item, false
+func (a *Admitter[T]) noteFlow(c Claim, o order, now time.Time) {
+	a.flows.note(flowKey{kind: c.Kind, late: o.late}, o.rank, o.service, now)
+}
+
+// wait estimates how long an item would wait for a slot: for what runs, for what waits before it, and for what will
+// come meanwhile and go before it.
+func (a *Admitter[T]) wait(o order, now time.Time) time.Duration {
+	running := time.Duration(max(a.inFlight-a.slots, 0)+1) * a.times.all.mean
+	share := a.flows.share(a.slots, now, func(key flowKey, rank int) bool {
+		return order{rank: rank, service: a.times.of(key.kind), late: key.late}.before(o)
+	})
+	return time.Duration(float64(running+a.queue.ahead(o)) / float64(a.slots) / (1 - share))
 }
 
 // Release gives a slot back.
@@ -151,27 +141,12 @@
 	if a.inFlight >= a.slots {
 		return item, false
 	}
-	for r, q := range a.queues {
-		if len(q) == 0 {
-			continue
-		}
-		item = q[0]
-		a.queues[r] = q[1:]
-		a.queued--
+	item, ok = a.queue.first()
+	if ok {
 		a.inFlight++
-		return item, true
 	}
-	return item, false
+	return item, ok
 }
 
 // Remove takes a waiting item out of the queue.
-func (a *Admitter[T]) Remove(item T) bool {
-	for r, q := range a.queues {
-		if i := slices.Index(q, item); i >= 0 {
-			a.queues[r] = slices.Delete(q, i, i+1)
-			a.queued--
-			return true
-		}
-	}
-	return false
-}
+func (a *Admitter[T]) Remove(item T) bool { return a.queue.remove(item) }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -192,7 +192,7 @@
 	}
 	if a.local() {
 		x.forwarder.local.lastAnswer = now
-		x.forwarder.noteService(now.Sub(a.began), now)
+		x.forwarder.noteService(x.route.Name, now.Sub(a.began), now)
 		x.forwarder.countOutcome(x, a)
 		x.localAnswerEnd(a)
 		return
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -58,8 +58,7 @@
 		x.retryNotRun("leaving")
 		return
 	}
-	claim := admitter.Claim{Rank: x.rank, MayWait: x.mayWait, LatestStart: x.usefulStart()}
-	verdict, evicted, hasEvicted := f.admitter.Enter(x, claim, time.Now())
+	verdict, evicted, hasEvicted := f.admitter.Enter(x, x.slotClaim(), time.Now())
 	if hasEvicted {
 		evicted.queued = false
 		evicted.retryNotRun(reasonQueueFull)
@@ -87,26 +86,21 @@
 	reasonQueueFull = "queue-full"
 )
 
-// usefulStart is when the call should have a slot: in time for the caller's aim, or else for its deadline.
-func (x *exchange) usefulStart() time.Time {
-	if start := x.aimAt.Add(-x.forwarder.admitter.ServiceTime()); time.Now().Before(start) {
-		return start
-	}
-	return x.lastStart()
+// slotClaim is what the call asks of the admitter.
+func (x *exchange) slotClaim() admitter.Claim {
+	return admitter.Claim{Rank: x.rank, Kind: x.route.Name, MayWait: x.mayWait, Aim: x.aimAt, Deadline: x.deadline}
 }
 
 // lastStart is when the call must have a slot to be answered before its deadline.
-func (x *exchange) lastStart() time.Time {
-	return x.deadline.Add(-x.forwarder.admitter.ServiceTime() / 2)
-}
+func (x *exchange) lastStart() time.Time { return x.forwarder.admitter.LastStart(x.slotClaim()) }
 
 // noteService takes in the time of a call at the upstream. What it took in a cold start is reduced to
 // what it would have taken after it.
-func (f *Forwarder) noteService(d time.Duration, now time.Time) {
+func (f *Forwarder) noteService(kind string, d time.Duration, now time.Time) {
 	if l := f.local.upstream; l != nil && now.Before(l.WarmAt) {
 		d /= balancer.ColdFactor
 	}
-	f.admitter.NoteService(d)
+	f.admitter.NoteService(kind, d)
 }
 
 // localLoad returns the calls that run or wait beside this node's upstream, and the mean time of one.
