Hold callers to the configuration's limits, and keep a refusal from answering the request before it

Cause: the limits were decoded and checked, and nothing looked at them: heads of 32 KB, bodies of any length and connections idle for two minutes were taken. A head that can't be parsed behind a call under way was answered at once, as if its 400 were the answer to that call (TestMalformedRequestBehindAnother: 400 before, its own answer now). Change: 431, 413 and 408 by the limits in force, each with the request not run; idle connections end after the given time.

--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -97,6 +97,7 @@
 	if k.view.dirtyAll {
 		view.Version = k.state.Version
 		view.Position = k.state.Position
+		view.Limits = k.state.Limits
 		view = view.WithRoutes(k.state.SortedRoutes()).WithPreset(k.state.Preset())
 		view.Services = make(map[string]*router.Service, len(k.state.Services))
 		for name := range k.state.Services {
--- /dev/null
+++ b/internal/forwarder/callerlimits_test.go
@@ -0,0 +1,91 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// limitedCaller returns a raw connection to a node under limits, and its upstream.
+func limitedCaller(t *testing.T) (net.Conn, *upstreamServer) {
+	t.Helper()
+	entry, _, u := pair(t, answering("reached"))
+	entry.publish(viewConfig{limits: &schema.Limits{MaxHeaderBytes: 1000, MaxBodyBytes: 1000, HeaderTimeoutMs: 500, IdleTimeoutMs: 500}})
+	address, _ := entry.Addresses()
+	c, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = c.Close() })
+	qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	return c, u
+}
+
+// TestCallersAreHeldToTheLimits sends requests beyond the limits of the configuration: each is answered and none runs.
+func TestCallersAreHeldToTheLimits(t *testing.T) {
+	tests := []struct {
+		name string
+		sent string
+		want int
+	}{
+		{"a head that is too long", "GET /get HTTP/1.1\r\nHost: a\r\nX-Long: " + strings.Repeat("x", 1001) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"a body that is too long", "POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n" + strings.Repeat("x", 1001), http.StatusRequestEntityTooLarge},
+		{"a long body that does not come", "POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"a body that is too long in chunks", "POST /post HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			strings.Repeat("64\r\n"+strings.Repeat("x", 100)+"\r\n", 11) + "0\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"a head that comes too slowly", "GET /get HTTP/1.1\r\nHost: a\r\nX-Slow: ", http.StatusRequestTimeout},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, u := limitedCaller(t)
+			_, _ = io.WriteString(c, test.sent)
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = response.Body.Close() }()
+			qt.Assert(t, response.StatusCode, qt.Equals, test.want)
+			qt.Assert(t, response.Header.Get("Tamarackpitch-Run"), qt.Equals, "no")
+			qt.Assert(t, u.runs.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
+// TestIdleCallersAreDisconnected leaves a connection idle after an answer.
+func TestIdleCallersAreDisconnected(t *testing.T) {
+	c, _ := limitedCaller(t)
+	_, _ = io.WriteString(c, "GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n")
+	reader := bufio.NewReader(c)
+	response, err := http.ReadResponse(reader, nil)
+	qt.Assert(t, err, qt.IsNil)
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	_, err = reader.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
+
+// TestMalformedRequestBehindAnother pipelines a request that can't be parsed: its refusal is not taken for the
+// answer to the one before it.
+func TestMalformedRequestBehindAnother(t *testing.T) {
+	entry, _, _ := pair(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(w, "first")
+	})
+	address, _ := entry.Addresses()
+	c, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, _ = io.WriteString(c, "POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
+	time.Sleep(50 * time.Millisecond)
+	_, _ = io.WriteString(c, "GET /get HTTP/1.1\r\nHost: a\r\nX-Odd: a\x00b\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err == nil {
+		defer func() { _ = response.Body.Close() }()
+		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+	}
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/router"
@@ -48,6 +49,10 @@
 	busy  map[string]bool
 	timer *time.Timer
 
+	// bodyBytes counts the body as far as it is known; oversized tells that it is beyond the limit.
+	bodyBytes int64
+	oversized bool
+
 	started bool
 	// ended is set once; after it nothing is written for this call.
 	ended    bool
@@ -99,9 +104,40 @@
 	return x
 }
 
+// countBody notes a part of the request's body. A call whose body is too long ends: what has been sent of it
+// to an upstream may have run.
+func (x *exchange) countBody(n int64) {
+	if x.caller.fromPeer || x.oversized {
+		return
+	}
+	x.bodyBytes += n
+	if x.bodyBytes <= x.forwarder.callerLimits().bodyBytes {
+		return
+	}
+	x.oversized = true
+	x.closeAfter = true
+	switch {
+	case !x.started:
+		x.caller.startNext()
+	case x.ended:
+	case x.headSent:
+		x.cut()
+	default:
+		x.refuseOversized()
+	}
+}
+
+func (x *exchange) refuseOversized() {
+	run := runNo
+	if x.runs > 0 {
+		run = runUnknown
+	}
+	x.refuse(http.StatusRequestEntityTooLarge, "body-too-long", run)
+}
+
 // ready tells whether enough of the request has been read to start.
 func (x *exchange) ready() bool {
-	return x.request.complete || x.request.message.length > gatherLimit || len(x.request.body) > gatherLimit
+	return x.oversized || x.request.complete || x.request.message.length > gatherLimit || len(x.request.body) > gatherLimit
 }
 
 func (x *exchange) receiveBody(data []byte) {
--- a/internal/forwarder/serverconn.go
+++ b/internal/forwarder/serverconn.go
@@ -11,8 +11,6 @@
 	maxPipelined = 8
 	// maxDiscard bounds the rest of a request body that is read after an early answer.
 	maxDiscard = 16 << 20
-	// callerIdleTimeout ends a caller's idle connection.
-	callerIdleTimeout = 2 * time.Minute
 )
 
 // serverConn is a connection from a caller or from another node. Requests are answered in order.
@@ -34,12 +32,16 @@
 func (s *serverConn) isHead() bool { return false }
 
 func (s *serverConn) onHead(m *message) error {
+	if !s.fromPeer && m.headBytes > s.forwarder.callerLimits().headBytes {
+		return &Error{Operation: "read", Kind: KindTooLarge, Detail: "header"}
+	}
 	x := newExchange(s, m)
 	s.usedAt = time.Now()
 	s.queue = append(s.queue, x)
 	s.reading = x
 	s.discarded = 0
-	if m.get(headerExpect) != "" {
+	x.countBody(max(m.length, 0))
+	if m.get(headerExpect) != "" && !x.oversized {
 		s.conn.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	if len(s.queue) >= maxPipelined {
@@ -51,7 +53,10 @@
 func (s *serverConn) onBody(data []byte) error {
 	x := s.reading
 	s.usedAt = time.Now()
-	if x.ended {
+	if x.request.message.length < 0 {
+		x.countBody(int64(len(data)))
+	}
+	if x.ended || x.oversized {
 		s.discarded += int64(len(data))
 		if s.discarded > maxDiscard {
 			return &Error{Operation: "read", Kind: KindTooLarge, Detail: "body after an early answer"}
@@ -122,15 +127,16 @@
 	}
 }
 
-// onMalformed answers a request that can't be parsed before the connection ends.
+// onMalformed answers a request that can't be parsed before the connection ends, unless the next answer on
+// the connection belongs to another request or has begun.
 func (s *serverConn) onMalformed(err error) {
-	if len(s.queue) > 0 && s.queue[0].headSent {
+	if len(s.queue) > 0 && (s.queue[0] != s.reading || s.queue[0].headSent) {
 		return
 	}
-	status := "400 Bad Request"
+	status := refusalStatus(KindMalformed)
 	var own *Error
-	if errors.As(err, &own) && own.Kind == KindTooLarge {
-		status = "431 Request Header Fields Too Large"
+	if errors.As(err, &own) {
+		status = refusalStatus(own.Kind)
 	}
 	var b bytes.Buffer
 	text := err.Error() + "\n"
@@ -156,15 +162,28 @@
 	return s.usedAt
 }
 
+// refusalStatus is the status line for a request that can't be read.
+func refusalStatus(k Kind) string {
+	switch k {
+	case KindTooLarge:
+		return "431 Request Header Fields Too Large"
+	case KindTimeout:
+		return "408 Request Timeout"
+	}
+	return "400 Bad Request"
+}
+
 // sweep ends connections that are idle for too long or send a head too slowly.
 func (s *serverConn) sweep(now time.Time) {
-	settings := s.forwarder.common.Settings
+	limits := s.forwarder.callerLimits()
 	unused := now.Sub(s.lastUse())
 	switch {
 	case len(s.queue) > 0:
-	case s.idle() && unused > callerIdleTimeout:
+	case s.idle() && unused > limits.idleTimeout:
 		s.conn.closeWith(nil)
-	case !s.idle() && unused > settings.HeaderTimeout:
-		s.conn.closeWith(&Error{Operation: "read", Kind: KindTimeout, Detail: "request header"})
+	case !s.idle() && unused > limits.headerTimeout:
+		err := &Error{Operation: "read", Kind: KindTimeout, Detail: "request header"}
+		s.onMalformed(err)
+		s.conn.closeWith(err)
 	}
 }
--- a/internal/forwarder/start.go
+++ b/internal/forwarder/start.go
@@ -25,6 +25,10 @@
 	x.view = f.view.Load()
 	x.closeAfter = x.closeAfter || f.draining
 	f.calls[x] = struct{}{}
+	if x.oversized {
+		x.refuseOversized()
+		return
+	}
 	if x.request.message.get(headerUpgrade) != "" {
 		x.refuse(501, "upgrade", runNo)
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,6 +65,8 @@
 	// Services by name. Every route's service is a key.
 	Services map[string]*Service
 	Preset   *schema.Preset
+	// Limits bound what callers may send. It is nil where the configuration gives none.
+	Limits *schema.Limits
 	// Local is nil while no upstream is announced.
 	Local *Local
 	// Refused holds the fingerprints of requests that crash upstreams.
