Judge a new version's failures against those of the old one under like conditions

Change: evidence tells the calls, not only the failures, that came during such a time; the old version's rate is taken apart for both conditions and put together as the new version's calls were. TestGoodVersionBesideStarvedNodes fails before (rolled back after 1.4 s).

--- a/internal/forwarder/evidence.go
+++ b/internal/forwarder/evidence.go
@@ -19,10 +19,11 @@
 type evidenceCount struct {
 	calls    uint64
 	failures uint64
-	// starved counts the failures that came while calls of the upstream itself were turned away.
-	starved    uint64
-	rejections uint64
-	latencies  [roller.LatencyBuckets]uint64
+	// starvedCalls and starvedFailures came while calls of the upstream itself were turned away.
+	starvedCalls    uint64
+	starvedFailures uint64
+	rejections      uint64
+	latencies       [roller.LatencyBuckets]uint64
 }
 
 // evidenceFor returns the count of a call, or nil if its service has no open rollout.
@@ -51,11 +52,15 @@
 		return
 	}
 	e.calls++
+	starved := f.starved(time.Now())
+	if starved {
+		e.starvedCalls++
+	}
 	switch {
 	case a.answer.status >= 500:
 		e.failures++
-		if f.starved(time.Now()) {
-			e.starved++
+		if starved {
+			e.starvedFailures++
 		}
 	case a.answer.status >= 400:
 		e.rejections++
@@ -92,7 +97,8 @@
 			all = append(all, r)
 		}
 		r.Evidence = append(r.Evidence, &schema.Evidence{Route: key.route, Version: key.version, Calls: count.calls,
-			Failures: count.failures, Rejections: count.rejections, StarvedFailures: count.starved, LatencyBuckets: count.latencies[:]})
+			Failures: count.failures, Rejections: count.rejections, StarvedCalls: count.starvedCalls,
+			StarvedFailures: count.starvedFailures, LatencyBuckets: count.latencies[:]})
 	}
 	return all
 }
--- a/internal/roller/baseline.go
+++ b/internal/roller/baseline.go
@@ -16,6 +16,8 @@
 	servicePriorCalls = 40
 	// fastPriorCalls weighs the slow estimate against the fast counts.
 	fastPriorCalls = 10
+	// starvedFloor is the lowest rate of failures assumed while calls that an upstream depends on are turned away.
+	starvedFloor = 0.1
 )
 
 // counts are decayed counts of the old version.
@@ -24,6 +26,10 @@
 	failures   float64
 	rejections float64
 	latencies  histogram
+	// starvedCalls and starvedFailures are the part of calls and failures that came while calls which
+	// the upstream may depend on were turned away beside it.
+	starvedCalls    float64
+	starvedFailures float64
 }
 
 func (c *counts) add(e *schema.Evidence) {
@@ -31,6 +37,8 @@
 	c.failures += float64(e.Failures)
 	c.rejections += float64(e.Rejections)
 	c.latencies.add(e.LatencyBuckets)
+	c.starvedCalls += float64(e.StarvedCalls)
+	c.starvedFailures += float64(e.StarvedFailures)
 }
 
 func (c *counts) decay(factor float64) {
@@ -38,6 +46,8 @@
 	c.failures *= factor
 	c.rejections *= factor
 	c.latencies.decay(factor)
+	c.starvedCalls *= factor
+	c.starvedFailures *= factor
 }
 
 // baseline is what the old version does, over a long and a short while.
@@ -61,7 +71,14 @@
 // event picks one kind of event and its calls from counts.
 type event func(c *counts) (events, calls float64)
 
-func failureEvents(c *counts) (events, calls float64)   { return c.failures, c.calls }
+func calmFailureEvents(c *counts) (events, calls float64) {
+	return c.failures - c.starvedFailures, c.calls - c.starvedCalls
+}
+
+func starvedFailureEvents(c *counts) (events, calls float64) {
+	return c.starvedFailures, c.starvedCalls
+}
+
 func rejectionEvents(c *counts) (events, calls float64) { return c.rejections, c.calls }
 
 func slowEvents(limit int) event {
@@ -92,3 +109,15 @@
 	}
 	return max(slow, fast, fastRoute)
 }
+
+// failureRate estimates how often calls to the old version fail that come under the conditions of some evidence: the
+// nodes of the two versions may differ in how often calls that their upstreams depend on are turned away.
+func (b *baseline) failureRate(e *schema.Evidence, service *baseline, floor float64) float64 {
+	calm := b.rate(calmFailureEvents, service, floor)
+	if e.Calls == 0 || e.StarvedCalls == 0 {
+		return calm
+	}
+	starved := b.rate(starvedFailureEvents, service, max(floor, starvedFloor))
+	part := min(float64(e.StarvedCalls)/float64(e.Calls), 1)
+	return calm*(1-part) + max(calm, starved)*part
+}
--- a/internal/roller/trial.go
+++ b/internal/roller/trial.go
@@ -126,7 +126,7 @@
 	r.newCalls += e.Calls
 	r.newFailures += failed
 	calls := float64(e.Calls)
-	old := r.old.rate(failureEvents, service, failures.floor)
+	old := r.old.failureRate(e, service, failures.floor)
 	r.failed.add(failures, float64(failed), calls, old)
 	r.grossFailed.add(grossFailures, float64(failed), calls, old)
 	old = r.old.rate(rejectionEvents, service, rejections.floor)
--- a/internal/roller/trial_test.go
+++ b/internal/roller/trial_test.go
@@ -64,7 +64,7 @@
 func (s scenario) evidence(version string, calls, failing float64, elapsed time.Duration) *schema.Evidence {
 	e := &schema.Evidence{Route: "r", Version: version, Calls: uint64(calls), Failures: uint64(calls*failing + 0.5)}
 	if s.starved != nil && s.starved(elapsed) {
-		e.StarvedFailures = e.Failures
+		e.StarvedCalls, e.StarvedFailures = e.Calls, e.Failures
 	}
 	return e
 }
@@ -100,6 +100,30 @@
 	qt.Assert(t, r.newCalls < r.exposureAllowed(s.callsPerTick), qt.IsTrue, qt.Commentf("%+v", r))
 }
 
+// TestGoodVersionBesideStarvedNodes gives the new version a few nodes in a part of the mesh where the calls that it
+// depends on are turned away, while most nodes of the old version are well off: it is not blamed.
+func TestGoodVersionBesideStarvedNodes(t *testing.T) {
+	const starvedFailing = 0.15
+	start := time.Now()
+	preset := reducer.DefaultPreset([]string{"0"})
+	trial := roller.New(roller.Config{Rollout: &schema.Rollout{Name: "s", Service: "s", To: "v2", DurationMs: uint32(duration.Milliseconds())},
+		Preset: preset, Now: start, Deadline: start.Add(duration)})
+	var oldFailures, newFailures float64
+	d := roller.Decision{}
+	for now := start; now.Before(start.Add(duration)) && !d.Completed; now = now.Add(tick) {
+		oldFailures += 8 * starvedFailing
+		newFailures += 10 * starvedFailing
+		old := &schema.Evidence{Route: "r", Version: "v1", Calls: 40, StarvedCalls: 8, Failures: uint64(oldFailures), StarvedFailures: uint64(oldFailures)}
+		fresh := &schema.Evidence{Route: "r", Version: "v2", Calls: 10, StarvedCalls: 10, Failures: uint64(newFailures), StarvedFailures: uint64(newFailures)}
+		oldFailures -= float64(old.Failures)
+		newFailures -= float64(fresh.Failures)
+		trial.Observe([]*schema.Evidence{old, fresh}, now)
+		d = trial.Decide(now, d.Step)
+		qt.Assert(t, d.RolledBack, qt.IsFalse, qt.Commentf("after %v: %s", now.Sub(start), d.Reason))
+	}
+	qt.Assert(t, d.Completed, qt.IsTrue)
+}
+
 // TestBadUnderLoad turns bad with the first larger share.
 func TestBadUnderLoad(t *testing.T) {
 	s := scenario{callsPerTick: 30, oldFails: constant(0.02), newFails: func(_ time.Duration, share float64) float64 {
