Spend less on a version before its last step, and find one that is bad only then

Change: first share 0.04, steps of 1 s, shorter with a large share; evidence of the last step is judged at once; excused are at most 40% of the calls that came while calls for other services were turned away. Ruled out: a first share of 0.03 (too few calls on a rare route). TestBadAtFullShare and TestBadAtFullShareUnderOverload fail before.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -149,7 +149,7 @@
 	}
 	f.stats.refused(reason)
 	if x.operation == "" && status != 404 {
-		f.starvedAt = time.Now()
+		x.noteStarved()
 		x.logCall(f.callLog.failures, "call refused", "status", status, "reason", reason, "run", run)
 	}
 	text := reason + "\n"
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -110,5 +110,13 @@
 // starvedTime is how long after a refusal at a node the failures of its upstream are put down to it.
 const starvedTime = time.Second
 
+// noteStarved is called when a call that entered here is turned away. Calls for the upstream's own service are none
+// that it depends on.
+func (x *exchange) noteStarved() {
+	if f := x.forwarder; f.local.upstream == nil || f.local.upstream.Service != x.service {
+		f.starvedAt = time.Now()
+	}
+}
+
 // starved tells whether calls that entered here, such as those that the upstream depends on, were turned away lately.
 func (f *Forwarder) starved(now time.Time) bool { return now.Sub(f.starvedAt) < starvedTime }
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -1,14 +1,18 @@
 package roller
 
 import (
+	"math"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
-// laterShares are the shares after a preset's first share.
+// laterShares are the shares after a preset's first share. Those that are hardly above it are left out.
 var laterShares = []float64{0.05, 0.25, 0.5, 1}
 
+// minRise is the least factor between the first share and the next one.
+const minRise = 2
+
 const (
 	// floorCalls is the least evidence for a step, whatever the deadline.
 	floorCalls = 5
@@ -32,7 +36,7 @@
 	}
 	shares := []float64{first}
 	for _, s := range laterShares {
-		if s > first {
+		if s > minRise*first {
 			shares = append(shares, s)
 		}
 	}
@@ -90,12 +94,19 @@
 	return time.Duration(t.config.Preset.WatchMs) * time.Millisecond
 }
 
-// stepTime is the preset's interval, shortened where the deadline is near.
+// stepTime is the preset's interval, shortened where the deadline is near, and with a large share: what a bad version
+// may get in all is limited, while the evidence comes faster.
 func (t *Trial) stepTime() time.Duration {
 	interval := time.Duration(t.config.Preset.StepIntervalMs) * time.Millisecond
+	if share := ShareAt(t.config.Preset, t.step); share > largeShare {
+		interval = time.Duration(float64(interval) * math.Sqrt(largeShare/share))
+	}
 	return max(min(interval, t.budget()), minStep)
 }
 
+// largeShare is the share above which a step takes less than the preset's interval.
+const largeShare = 0.25
+
 // firstStepEnd is the earliest end of the first step. A version that turns bad after a while, or with the
 // first larger share, then does so while most calls still go to the old one.
 func (t *Trial) firstStepEnd() time.Time {
--- a/internal/roller/trial.go
+++ b/internal/roller/trial.go
@@ -14,6 +14,9 @@
 // judgeDelay holds the new version's evidence back until that of the old one from the same time has come.
 const judgeDelay = 400 * time.Millisecond
 
+// maxStarvedRate is the part of its calls that a good version fails at most while calls that it depends on are turned away.
+const maxStarvedRate = 0.4
+
 // Latency beyond twice the old version's slowQuantile counts as slow.
 const (
 	slowQuantile      = 0.9
@@ -104,7 +107,7 @@
 
 // judgePending judges the evidence that has been held back long enough.
 func (t *Trial) judgePending(now time.Time) {
-	for len(t.pending) > 0 && now.Sub(t.pending[0].at) >= judgeDelay {
+	for len(t.pending) > 0 && t.isDue(t.pending[0], now) {
 		e := t.pending[0].evidence
 		t.pending = t.pending[1:]
 		r := t.route(e.Route)
@@ -113,13 +116,24 @@
 	}
 }
 
+// isDue tells whether evidence can be judged. Once the new version takes all traffic no evidence of the old one
+// from the same time will come.
+func (t *Trial) isDue(p pendingEvidence, now time.Time) bool {
+	if t.step >= LastStep(t.config.Preset) && !p.at.Before(t.stepSince) {
+		return true
+	}
+	return now.Sub(p.at) >= judgeDelay
+}
+
 // blamed returns the failures that count against the new version. Once it takes all traffic there is no old one
-// to compare with at the same time, so that failures for want of other services are left out.
+// to compare with at the same time, so that failures for want of other services are left out, as far as a good version
+// may have them.
 func (t *Trial) blamed(e *schema.Evidence) uint64 {
 	if t.step < LastStep(t.config.Preset) {
 		return e.Failures
 	}
-	return e.Failures - min(e.StarvedFailures, e.Failures)
+	excused := min(e.StarvedFailures, uint64(maxStarvedRate*float64(e.StarvedCalls)+0.5))
+	return e.Failures - min(excused, e.Failures)
 }
 
 func (r *routeTrial) addNew(e *schema.Evidence, failed uint64, service *baseline) {
--- a/internal/roller/trial_test.go
+++ b/internal/roller/trial_test.go
@@ -145,3 +145,32 @@
 		qt.Assert(t, r.after < duration-time.Second, qt.IsTrue, qt.Commentf("%v calls: %+v", calls, r))
 	}
 }
+
+// TestBadAtFullShare turns bad once no old version is left to compare with: it is found within the allowance. What the
+// new version has been given when the decision comes, and has not answered, counts too.
+func TestBadAtFullShare(t *testing.T) {
+	const ticksToAnswer = 2
+	for _, calls := range []float64{5, 14, 30, 110} {
+		s := scenario{callsPerTick: calls, oldFails: constant(0.01), newFails: func(_ time.Duration, share float64) float64 {
+			if share >= 1 {
+				return 0.5
+			}
+			return 0.01
+		}}
+		r := s.play()
+		qt.Assert(t, r.decision.RolledBack, qt.IsTrue, qt.Commentf("%+v", r))
+		qt.Check(t, r.newCalls+ticksToAnswer*calls < r.exposureAllowed(calls), qt.IsTrue, qt.Commentf("%v calls a tick, %v allowed: %+v", calls, r.exposureAllowed(calls), r))
+	}
+}
+
+// TestBadAtFullShareUnderOverload turns bad at full share while calls that the upstreams depend on are turned away.
+func TestBadAtFullShareUnderOverload(t *testing.T) {
+	s := scenario{callsPerTick: 30, oldFails: constant(0.05), newFails: func(_ time.Duration, share float64) float64 {
+		if share >= 1 {
+			return 0.55
+		}
+		return 0.05
+	}, starved: func(time.Duration) bool { return true }}
+	r := s.play()
+	qt.Assert(t, r.decision.RolledBack, qt.IsTrue, qt.Commentf("%+v", r))
+}
--- a/pkg/reducer/preset.go
+++ b/pkg/reducer/preset.go
@@ -8,10 +8,10 @@
 	return &schema.Preset{
 		Name:              "default",
 		Classes:           classes,
-		StepIntervalMs:    1200,
+		StepIntervalMs:    1000,
 		WatchMs:           2000,
 		MinCalls:          10,
-		FirstShare:        0.05,
+		FirstShare:        0.04,
 		FirstStepPart:     0.45,
 		RetryBudget:       0.1,
 		QueueLength:       96,
