Ask the VM's link before a long answer is promised

Cause: on the grown Hin Bao a dispatch VM has a link of 10 Mbit/s, which carries 14 manifests a second; its slots let in more. Change: setting link-mbps; the node beside the upstream keeps the link's backlog and the bytes it has promised; a call whose answers are long gets a slot only if its answer is carried in time. The others go where the link is free.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -72,6 +72,10 @@
 // ServiceTime returns the time for which an item holds its slot on average, or 0 if none has.
 func (a *Admitter[T]) ServiceTime() time.Duration { return a.times.all.mean }
 
+// ServiceTimeOf returns the time for which an item of a kind holds its slot on average, or that of all
+// items if none of the kind has.
+func (a *Admitter[T]) ServiceTimeOf(kind string) time.Duration { return a.times.of(kind) }
+
 // NoteService takes in for how long an item of a kind held its slot.
 func (a *Admitter[T]) NoteService(kind string, d time.Duration) { a.times.note(kind, d) }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -59,7 +59,11 @@
 	swallowed *message
 	// verdict tells what the answer of the local upstream means.
 	verdict answerVerdict
-	ended   bool
+	// promised is the answer's expected length, for which the link has been asked.
+	promised float64
+	// received counts the answer's bytes.
+	received int64
+	ended    bool
 }
 
 func (a *attempt) local() bool { return a.endpoint == nil }
@@ -288,6 +292,7 @@
 	if a.ended {
 		return
 	}
+	a.received += int64(len(data))
 	if a.swallowed != nil {
 		x.keepFallback(a, data)
 		return
@@ -340,6 +345,7 @@
 func (a *attempt) finish() {
 	a.ended = true
 	if a.local() {
+		a.exchange.forwarder.link.Settle(a.promised)
 		a.exchange.forwarder.releaseSlot()
 	}
 }
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
@@ -40,6 +41,8 @@
 	reader    *reader
 	owner     owner
 	closed    bool
+	// local tells that the other end is the upstream on the same VM, so that the link carries nothing of it.
+	local bool
 	// endedInOrder tells that the peer has closed the connection without a reset.
 	endedInOrder bool
 	// paused tells that nothing is read, so that the peer is held back.
@@ -83,6 +86,9 @@
 		return false
 	}
 	n.pending.Add(int64(len(b)))
+	if !n.local {
+		n.forwarder.link.Sent(len(b), time.Now())
+	}
 	if _, err := n.c.Write(b); err != nil {
 		n.closeWith(err)
 		return false
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -217,6 +217,9 @@
 	a.finish()
 	switch {
 	case a.swallowed == nil:
+		if a.answer.status < http.StatusMultipleChoices {
+			x.forwarder.noteAnswerBytes(x.route, a.received)
+		}
 		x.writeEnd("")
 	case a.verdict == answerNotRun:
 		x.forwarder.noteRefused(a)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,6 +30,7 @@
 	// defaultQueueLength serves where the preset gives none.
 	defaultQueueLength = 64
 	sweepInterval      = time.Second
+	bytesPerMegabit    = 1e6 / 8
 )
 
 // Config builds a Forwarder.
@@ -66,6 +67,7 @@
 	pools    map[string]*pool
 	local    localState
 	admitter admitter.Admitter[*exchange]
+	link     admitter.Link
 	calls    map[*exchange]struct{}
 	ids      *ledger
 	keys     *ledger
@@ -109,6 +111,7 @@
 		answerBytes: map[string]float64{},
 		transit:     transitClock{fastest: map[string]time.Duration{}},
 	}
+	f.link.BytesPerSecond = c.Common.Settings.LinkMbps * bytesPerMegabit
 	f.balancer = balancer.Balancer{Zone: c.Common.Settings.Zone, Random: f.random}
 	f.nextID = f.random.Uint64()
 	f.sender = c.Common.Settings.Name + "/" + strconv.FormatUint(f.random.Uint64(), 36)
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -58,7 +58,12 @@
 		x.retryNotRun("leaving")
 		return
 	}
-	verdict, evicted, hasEvicted := f.admitter.Enter(x, x.slotClaim(), time.Now())
+	now, claim := time.Now(), x.slotClaim()
+	if !f.linkAdmits(x, claim, now) {
+		x.refuseSlot()
+		return
+	}
+	verdict, evicted, hasEvicted := f.admitter.Enter(x, claim, now)
 	if hasEvicted {
 		evicted.queued = false
 		evicted.retryNotRun(reasonQueueFull)
@@ -70,14 +75,28 @@
 		x.queued = true
 		x.arm(time.Now())
 	case admitter.Refused:
-		if x.mayWait {
-			x.retryNotRun(reasonQueueFull)
-			return
-		}
-		x.retryNotRun(reasonBusy)
+		x.refuseSlot()
 	}
 }
 
+// refuseSlot sends the call elsewhere, or tells the node that sent it to do so.
+func (x *exchange) refuseSlot() {
+	if x.mayWait {
+		x.retryNotRun(reasonQueueFull)
+		return
+	}
+	x.retryNotRun(reasonBusy)
+}
+
+// linkAdmits tells whether the VM's link can carry the answer in time.
+func (f *Forwarder) linkAdmits(x *exchange, c admitter.Claim, now time.Time) bool {
+	bytes := f.answerBytes[x.route.Name]
+	return bytes < longAnswerBytes || f.link.Admits(c, bytes, f.admitter.ServiceTimeOf(x.route.Name), now)
+}
+
+// longAnswerBytes is the mean length from which answers must ask for room on the link. Short ones are carried between them.
+const longAnswerBytes = 16 << 10
+
 // Reasons for which a call gets no slot.
 const (
 	// reasonBusy tells that no slot is free for a call that may not wait.
@@ -113,7 +132,8 @@
 	f := x.forwarder
 	l := f.local.upstream
 	f.common.Checker.Assert(!l.Draining, checker.NoWorkToLeaving, "call %x sent to a draining upstream", x.id)
-	a := &attempt{exchange: x, kind: kindCall, fresh: x.freshConn}
+	a := &attempt{exchange: x, kind: kindCall, fresh: x.freshConn, promised: f.answerBytes[x.route.Name]}
+	f.link.Promise(a.promised)
 	x.attempt = a
 	p := f.pool(l.Address, l.Connections)
 	p.rest = upstreamRest
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -116,6 +116,7 @@
 	}
 	n := &clientConn{forwarder: p.forwarder, pool: p}
 	n.conn = newConn(p.forwarder, c, n, true)
+	n.conn.local = d.attempt.local()
 	if d.attempt.ended {
 		p.put(n)
 		return
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -61,7 +61,9 @@
 	DrainTimeout    time.Duration `help:"Time after the end of the listeners in which calls may finish." default:"60s"`
 
 	// Runtime.
-	Threads       int `help:"Threads that run Go code at one time. More of them add latency, since idle ones search for work." default:"2"`
+	Threads  int     `help:"Threads that run Go code at one time. More of them add latency, since idle ones search for work." default:"2"`
+	LinkMbps float64 `help:"Bandwidth of the VM's network link, Mbit/s; 0 if it is not known." default:"0"`
+
 	MemoryLimitMB int `help:"Soft limit of the Go heap, MB." default:"200" name:"memory-limit-mb"`
 }
 
