--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -88,7 +88,9 @@
 	snapshotLimit  *rate.Limiter
 	lastCheckpoint uint64
 
-	reader   *logReader
+	reader *logReader
+	// lag tells for how long neighbours have been ahead.
+	lag      lagWatch
 	appender *appender
 	reporter *reporter
 
--- /dev/null
+++ b/internal/controller/lagwatch_test.go
@@ -0,0 +1,35 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestStormIsNotPulled replays changes 200 ms apart that the node reads 100 ms after its neighbours: it is behind at
+// half of the moments at which it hears of them, and never long enough to ask a neighbour.
+func TestStormIsNotPulled(t *testing.T) {
+	var w lagWatch
+	start := time.Unix(0, 0)
+	behind := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 30 * time.Millisecond {
+		heard := uint64(at / (200 * time.Millisecond))
+		own := uint64(max(at-100*time.Millisecond, 0) / (200 * time.Millisecond))
+		if heard > own {
+			behind++
+		}
+		qt.Assert(t, w.lag(own, heard, start.Add(at)) < pullGrace, qt.IsTrue, qt.Commentf("after %v", at))
+	}
+	qt.Assert(t, behind > 100, qt.IsTrue)
+}
+
+// TestNodeWithoutReadsPulls lets a node stay where it is: the lag grows, also while neighbours get further ahead.
+func TestNodeWithoutReadsPulls(t *testing.T) {
+	var w lagWatch
+	start := time.Unix(0, 0)
+	qt.Assert(t, w.lag(5, 5, start), qt.Equals, time.Duration(0))
+	qt.Assert(t, w.lag(5, 6, start), qt.Equals, time.Duration(0))
+	qt.Assert(t, w.lag(5, 8, start.Add(pullGrace)), qt.Equals, pullGrace)
+	qt.Assert(t, w.lag(6, 8, start.Add(pullGrace)), qt.Equals, time.Duration(0))
+}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -76,9 +76,7 @@
 	f.Heartbeat = k.heartbeat()
 	l.Send(f)
 	k.mergeMembers(l, []*schema.Member{l.Hello.Member}, now)
-	if l.Hello.Position > k.state.Position {
-		k.pull(l, s, now)
-	}
+	k.pullIfBehind(l, s, l.Hello.Position, now)
 }
 
 // refuseLink names other peers and ends the link.
@@ -214,9 +212,7 @@
 
 func (k *Controller) handleHeartbeat(l *gossiper.Link, s *linkState, h *schema.Heartbeat, now time.Time) {
 	k.start.hear(s.node, h.Position)
-	if h.Position > k.state.Position && now.Sub(s.pulledAt) >= pullTimeout {
-		k.pull(l, s, now)
-	}
+	k.pullIfBehind(l, s, h.Position, now)
 	if h.Position == k.state.Position && h.StateDigest != k.digest {
 		k.record("state-digest-mismatch", map[string]string{"neighbour": s.node})
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -84,6 +84,23 @@
 	k.record("configuration-in-force", map[string]string{"version": version, "preset": next.ActivePreset})
 }
 
+// pullIfBehind asks a neighbour that is ahead, unless this node reads the log itself and will have it at once.
+func (k *Controller) pullIfBehind(l *gossiper.Link, s *linkState, heard uint64, now time.Time) {
+	lag := k.lag.lag(k.state.Position, heard, now)
+	if heard <= k.state.Position || now.Sub(s.pulledAt) < pullTimeout {
+		return
+	}
+	if k.readsLog() && lag < pullGrace {
+		return
+	}
+	k.pull(l, s, now)
+}
+
+// readsLog tells whether this node follows the log itself, and can.
+func (k *Controller) readsLog() bool {
+	return k.start.ready && k.reader.active.Load() && !k.reader.lost.Load()
+}
+
 // pull asks a neighbour for what this node lacks.
 func (k *Controller) pull(l *gossiper.Link, s *linkState, now time.Time) {
 	s.pulledAt = now
