--- a/internal/admitter/flows.go
+++ b/internal/admitter/flows.go
@@ -10,6 +10,8 @@
 	flowMemory = time.Second
 	// maxFlow bounds the part of the slots that work which goes first is expected to take.
 	maxFlow = 0.95
+	// maxFlows bounds the keys that are remembered: each kind, in time and late.
+	maxFlows = 2 * maxKinds
 )
 
 // flowKey names the items that are alike for those that wait.
@@ -36,10 +38,11 @@
 }
 
 func (f *flows) note(key flowKey, rank int, service time.Duration, now time.Time) {
-	if f.byKey == nil || len(f.byKey) >= 2*maxKinds {
+	before, known := f.byKey[key]
+	if !known && (f.byKey == nil || len(f.byKey) >= maxFlows) {
 		f.byKey = map[flowKey]flow{}
 	}
-	f.byKey[key] = flow{rank: rank, work: f.byKey[key].workAt(now) + service, at: now}
+	f.byKey[key] = flow{rank: rank, work: before.workAt(now) + service, at: now}
 }
 
 // share returns the part of the slots, up to maxFlow, that is expected to go to those flows which the filter keeps.
--- a/internal/admitter/link.go
+++ b/internal/admitter/link.go
@@ -14,7 +14,7 @@
 	// backlog is what was still to be carried at the time at.
 	backlog float64
 	at      time.Time
-	// promised are the expected bytes of answers that have not begun.
+	// promised are the expected bytes of answers that have not come whole.
 	promised float64
 }
 
@@ -38,11 +38,7 @@
 
 // Wait returns how long an answer that is ready after some service time would wait for the link.
 func (l *Link) Wait(service time.Duration, now time.Time) time.Duration {
-	if l.BytesPerSecond == 0 {
-		return 0
-	}
-	ahead := (l.backlogAt(now) + l.promised) / l.BytesPerSecond
-	return max(time.Duration(ahead*float64(time.Second))-service, 0)
+	return max(l.Transfer(l.backlogAt(now)+l.promised)-service, 0)
 }
 
 // Transfer returns the time that the link needs for an answer.
