Do not give up a silent call that has no alternative

Its node had given no sign of life for 0.4 s over a crowded link; the entry node dropped the call to try another one, and none was left. Change: an idempotent call is dropped for silence only if an upstream that was not tried, an attempt and the retry budget are there.

--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -1,8 +1,10 @@
 package forwarder
 
 import (
+	"slices"
 	"time"
 
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/budgeter"
 )
 
@@ -34,6 +36,16 @@
 		x.replayable() && time.Now().Before(x.deadline)
 }
 
+// hasAlternative tells whether another upstream can take the call if the present attempt is given up.
+func (x *exchange) hasAlternative() bool {
+	service := x.view.Services[x.service]
+	if service == nil || !x.mayTryAgain() || x.arrivals > x.paidArrivals && !x.forwarder.budget(x.service, x.route.Class).Holds() {
+		return false
+	}
+	untried := func(e *balancer.Endpoint) bool { return !x.tried[e.Node] }
+	return slices.ContainsFunc(service.Endpoints, untried) || slices.ContainsFunc(service.Trial, untried)
+}
+
 // mayRetry tells whether another node may be tried. It draws on the budget once for each upstream that has
 // seen the call, however many nodes are asked after it.
 func (x *exchange) mayRetry() bool {
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -42,11 +42,13 @@
 	case a.kind == kindReserve:
 		x.dropAttempts()
 		x.reserve()
-	case x.idempotent:
+	case x.idempotent && x.hasAlternative():
 		// The node is frozen or cut off, or the connection is.
 		a.endpoint.Load.NoteFailure(now)
 		x.dropAttempts()
 		x.retryUnknown("node-silent")
+	case x.idempotent:
+		// Its answer may still come, and there is nothing better to wait for.
 	case x.claim == nil && x.claims < maxClaims:
 		x.startClaim(a)
 	}
