--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -107,7 +107,7 @@
 // countBody notes a part of the request's body. A call whose body is too long ends: what has been sent of it
 // to an upstream may have run.
 func (x *exchange) countBody(n int64) {
-	if x.caller.fromPeer || x.oversized {
+	if x.ended || x.oversized || x.caller.gone() || x.caller.fromPeer {
 		return
 	}
 	x.bodyBytes += n
@@ -119,7 +119,6 @@
 	switch {
 	case !x.started:
 		x.caller.startNext()
-	case x.ended:
 	case x.headSent:
 		x.cut()
 	default:
--- /dev/null
+++ b/internal/forwarder/exchange_test.go
@@ -0,0 +1,16 @@
+package forwarder
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestBodyAfterTheCallerHasGone hands on the rest of a body that was read before the call was cut: it is dropped.
+func TestBodyAfterTheCallerHasGone(t *testing.T) {
+	x := &exchange{ended: true, request: request{message: &message{length: -1}}}
+	s := &serverConn{reading: x}
+	qt.Assert(t, s.onBody([]byte("rest")), qt.IsNil)
+	qt.Assert(t, x.bodyBytes, qt.Equals, int64(0))
+	qt.Assert(t, s.discarded, qt.Equals, int64(4))
+}
