Let a few nodes read the log, tell neighbours deltas, and begin pipelined lookups ahead of their turn

Pipelined lookups were served one after the other. Ruled out: flooding whole records (130 KB on every link), since bytes between zones are dear. Nodes start through their neighbours first; eight seeds are kept in the log.

--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -126,7 +126,7 @@
 	k.view.dirtyTime = true
 	k.common.Logger.Info("upstream leaving", "instance", instance)
 	k.describeUpstream()
-	k.announceSelf()
+	k.saveSelf()
 }
 
 // describeUpstream puts the lease into this node's own fact.
@@ -157,9 +157,9 @@
 	k.describeUpstream()
 }
 
-// announceSelf tells the log of this node, so that others find it and its next start knows what it has promised.
-func (k *Controller) announceSelf() {
+// saveSelf keeps this node's fact in the log, so that its next start knows what it has promised.
+func (k *Controller) saveSelf() {
 	self := k.table.Self()
 	log := k.config.Log
-	k.appender.queue(appendJob{what: "join", write: func(ctx context.Context) error { return log.Announce(ctx, self) }})
+	k.appender.queue(appendJob{what: "self", write: func(ctx context.Context) error { return log.SaveSelf(ctx, self) }})
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,7 +23,7 @@
 
 const (
 	// snapshotsPerSecond bounds the state snapshots a node gives to others.
-	snapshotsPerSecond = 4
+	snapshotsPerSecond = 16
 	commandQueue       = 64
 	// smallMesh is the number of members up to which duties are assigned at every tick.
 	smallMesh = 64
@@ -84,13 +84,28 @@
 	draining bool
 
 	nextHeartbeat  time.Time
+	nextUpkeep     time.Time
 	nextRevival    time.Time
+	nextRejoin     time.Time
 	snapshotLimit  *rate.Limiter
 	lastCheckpoint uint64
+	// beatDue asks for a heartbeat now.
+	beatDue bool
+	// savedProgress is kept until the node is ready. It is empty from then on.
+	savedProgress []*schema.Progress
+	// joined is closed once the node is ready.
+	joined chan struct{}
 
 	reader *logReader
 	// lag tells for how long neighbours have been ahead.
-	lag      lagWatch
+	lag lagWatch
+	// news tells when the log was read last. A read counts once this node has applied what was there.
+	news     freshness
+	readDuty readDuty
+	// patience is how long neighbours have to bring what this node lacks before it reads the log itself.
+	patience time.Duration
+	changes  reducer.Changes
+	pulling  pullState
 	appender *appender
 	reporter *reporter
 
@@ -118,6 +133,9 @@
 		crashes:       map[uint64]*crashRecord{},
 		random:        rand.New(rand.NewPCG(c.Self.Incarnation, 1)),
 		snapshotLimit: rate.NewLimiter(snapshotsPerSecond, snapshotsPerSecond),
+		nextRejoin:    now.Add(c.Common.Settings.RejoinInterval / 2),
+		joined:        make(chan struct{}),
+		patience:      pullGrace + randomUpTo(pullGrace),
 	}
 	k.digest = k.state.Digest()
 	k.start = newStartState(now)
@@ -163,6 +181,9 @@
 			k.tick(time.Now())
 		}
 		k.drainQueues()
+		if k.beatDue {
+			k.sendHeartbeats(time.Now())
+		}
 		k.publishView(time.Now())
 	}
 }
@@ -207,15 +228,19 @@
 	k.expireLease(now)
 	k.checkLinks(now)
 	if k.table.Len() <= smallMesh {
-		k.assignDuties()
+		k.assignDuties(now)
 	}
 	if !now.Before(k.nextHeartbeat) {
-		k.nextHeartbeat = now.Add(k.common.Settings.Heartbeat)
-		k.sendHeartbeats()
+		k.sendHeartbeats(now)
+	}
+	if !now.Before(k.nextUpkeep) {
+		k.nextUpkeep = now.Add(k.common.Settings.Heartbeat)
 		k.chooseNeighbours(now)
 		k.revive(now)
-		k.assignDuties()
+		k.assignDuties(now)
 	}
+	k.pullIfBehind(now)
+	k.decideReading(now)
 	k.decideRollouts(now)
 	k.expireCrashes(now)
 	k.checkStart(now)
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"slices"
 	"strconv"
 	"time"
@@ -11,8 +10,6 @@
 )
 
 const (
-	// rejoiners is how many nodes of a zone look for nodes that the mesh does not know.
-	rejoiners = 1
 	// reviveInterval is how often a node of a large mesh tries to reach a member that is held dead;
 	// in a small mesh it is done with every heartbeat.
 	reviveInterval = 10 * time.Second
@@ -24,28 +21,36 @@
 
 // assignDuties takes up or lays down the duties that fall to this node by rendezvous hashing.
 // A duty held by two nodes at once, while their tables differ, is harmless.
-func (k *Controller) assignDuties() {
+func (k *Controller) assignDuties(now time.Time) {
 	if r := k.table.Revision(); r != k.duties.revision {
 		k.duties = k.chooseDuties()
 		k.duties.revision = r
 	}
-	// A node without links hears of changes in no other way.
-	reads := k.duties.reads || len(k.links) == 0
-	if k.reader.active.Swap(reads) != reads {
-		k.record("log-reader", map[string]string{"active": strconv.FormatBool(reads)})
-	}
 	if k.duties.rejoins {
-		k.rejoin(time.Now())
+		k.rejoin(now)
 	}
 	if k.duties.writesCheckpoints {
 		k.writeCheckpoint()
 	}
 }
 
+// decideReading takes up or lays down the reading of the log.
+func (k *Controller) decideReading(now time.Time) {
+	reads := k.readDuty.decide(readSituation{
+		holds: k.duties.reads, rank: k.duties.standbyRank, ready: k.start.ready, links: len(k.links), news: k.news,
+		since: k.start.since, lag: k.lag.lag(k.state.Position, k.newestHeard(), now), patience: k.patience,
+	}, now)
+	if k.reader.setActive(reads) {
+		k.common.Logger.Debug("log reader", "active", reads, "news-age", k.news.age(now))
+		k.record("log-reader", map[string]string{"active": strconv.FormatBool(reads)})
+	}
+}
+
 // dutyState holds the duties that fall to this node at a revision of the membership table.
 type dutyState struct {
 	revision          uint64
 	reads             bool
+	standbyRank       int
 	rejoins           bool
 	writesCheckpoints bool
 }
@@ -61,22 +66,12 @@
 	}
 	return dutyState{
 		reads:             ranker.IsAmongFirst("log-reader/"+self.Zone, self.Node, k.common.Settings.Readers, zone),
-		rejoins:           ranker.IsAmongFirst("rejoiner/"+self.Zone, self.Node, rejoiners, zone),
+		standbyRank:       ranker.Place("log-standby", self.Node, all),
+		rejoins:           ranker.IsAmongFirst("rejoiner", self.Node, 1, all),
 		writesCheckpoints: k.common.Settings.CheckpointEvery > 0 && ranker.IsAmongFirst("checkpoint-writer", self.Node, 1, all),
 	}
 }
 
-// rejoin announces this node again and looks in the log for nodes that this one does not know, so that
-// parts of the mesh that were separated, or never met, find each other.
-func (k *Controller) rejoin(now time.Time) {
-	if now.Before(k.start.nextRejoin) || !k.start.ready {
-		return
-	}
-	k.start.nextRejoin = now.Add(k.common.Settings.RejoinInterval)
-	k.announceSelf()
-	go (&rejoiner{controller: k}).run()
-}
-
 // revive dials members that are gone: only the way to them may have been lost, and one that was restarted
 // while the log is away finds the mesh in no other way.
 func (k *Controller) revive(now time.Time) {
@@ -92,29 +87,6 @@
 	}
 }
 
-// rejoiner looks once for nodes that this one does not know.
-type rejoiner struct {
-	controller *Controller
-}
-
-// run reads what the log tells a starting node.
-func (r *rejoiner) run() {
-	k := r.controller
-	b, err := k.config.Log.Begin(context.Background())
-	if err != nil {
-		k.common.Logger.Debug("log not reached", "reason", err)
-		return
-	}
-	k.do(func() {
-		known := map[string]bool{}
-		for _, m := range k.table.Usable() {
-			known[m.ControlAddress] = true
-		}
-		unknown := slices.DeleteFunc(b.Members, func(m *schema.Member) bool { return known[m.ControlAddress] })
-		k.dialSome(unknown, time.Now())
-	})
-}
-
 // writeCheckpoint appends the whole state once enough records have come since the last one.
 func (k *Controller) writeCheckpoint() {
 	if !k.start.ready || k.state.Position < k.lastCheckpoint+uint64(k.common.Settings.CheckpointEvery) {
@@ -126,3 +98,8 @@
 		Body: &schema.Record_Checkpoint{Checkpoint: &schema.Checkpoint{State: k.state.Encode()}}})
 	k.record("checkpoint-written", map[string]string{"position": strconv.FormatUint(k.state.Position, 10)})
 }
+
+// isKnown tells whether a member that the log names is usable in this node's table.
+func isKnown(usable []*schema.Member, m *schema.Member) bool {
+	return slices.ContainsFunc(usable, func(u *schema.Member) bool { return u.ControlAddress == m.ControlAddress })
+}
--- /dev/null
+++ b/internal/controller/freshness.go
@@ -0,0 +1,67 @@
+package controller
+
+import "time"
+
+const (
+	// readWait is how long a read of the log waits for new records. It bounds the time after which the loss of
+	// the log, or of a reader, shows.
+	readWait = time.Second
+	// newsStep is the least progress of news of the log that is passed on to neighbours.
+	newsStep = 700 * time.Millisecond
+	// freshNews is the age up to which news of the log from a neighbour is as good as a read of one's own.
+	freshNews = 3 * time.Second
+	// takeOverAfter is the age of the newest news of the log at which the first standby reads it: one wait and
+	// the time in which the news of it passes through the mesh.
+	takeOverAfter = readWait + 400*time.Millisecond
+	// standbyStep spreads the standbys, so that one that succeeds keeps the others from reading.
+	standbyStep = 100 * time.Millisecond
+	// nearStandbys follow each other by standbyStep, all others by farStandbyStep: where none of the first ones
+	// reaches the log, most others won't either.
+	nearStandbys   = 16
+	farStandbyStep = 500 * time.Millisecond
+	// standbyTerm is how long a standby reads after it has taken over.
+	standbyTerm = 10 * time.Second
+)
+
+// freshness tells when the log was read last, by any node of which news has come. The zero value knows of no read.
+type freshness struct {
+	readAt time.Time
+}
+
+// hear takes in that the log was read at a time. It reports whether neighbours should be told.
+func (f *freshness) hear(readAt time.Time) bool {
+	if !readAt.After(f.readAt) {
+		return false
+	}
+	worth := readAt.Sub(f.readAt) >= newsStep
+	f.readAt = readAt
+	return worth
+}
+
+// known tells whether any read of the log has been heard of.
+func (f *freshness) known() bool { return !f.readAt.IsZero() }
+
+// age returns the time since the last read that was heard of.
+func (f *freshness) age(now time.Time) time.Duration { return now.Sub(f.readAt) }
+
+// isFresh tells whether the newest position that was heard of is that of the log.
+func (f *freshness) isFresh(now time.Time) bool { return f.known() && f.age(now) <= freshNews }
+
+// encode returns the age as it is told to neighbours: milliseconds plus one, or 0 if no read is known.
+func (f *freshness) encode(now time.Time) uint32 {
+	if !f.known() {
+		return 0
+	}
+	return uint32(max(f.age(now), 0)/time.Millisecond) + 1
+}
+
+// decodeReadTime returns the time of the read that a neighbour has told the age of.
+func decodeReadTime(ageMs uint32, now time.Time) time.Time {
+	return now.Add(-time.Duration(ageMs-1) * time.Millisecond)
+}
+
+// standbyDelay returns the age of the news at which the standby with a rank reads the log itself.
+func standbyDelay(rank int) time.Duration {
+	near := min(rank, nearStandbys)
+	return takeOverAfter + time.Duration(near)*standbyStep + time.Duration(rank-near)*farStandbyStep
+}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -14,17 +14,16 @@
 	avoidTime = time.Minute
 	// redialAfter is the least time between two dials of one address.
 	redialAfter = time.Second
-	// mismatchesToCompare is how many heartbeats in a row must differ before the tables are compared.
-	mismatchesToCompare = 3
-	pullTimeout         = 500 * time.Millisecond
 )
 
 // linkState is what the loop knows of a link.
 type linkState struct {
-	node       string
-	lastHeard  time.Time
-	pulledAt   time.Time
-	mismatches int
+	node      string
+	lastHeard time.Time
+	// position is the newest that the neighbour has told of.
+	position uint64
+	// differsSince is when the neighbour's table began to differ from this node's; zero if it does not.
+	differsSince time.Time
 	// reported is set once the neighbour's silence has led to a suspicion.
 	reported bool
 	// parted is set once the neighbour has said that it will end the link.
@@ -54,29 +53,28 @@
 func (k *Controller) openLink(l *gossiper.Link, now time.Time) {
 	node := l.Hello.Member.Node
 	if node == k.table.Self().Node || !l.Outgoing && len(k.links) >= maxLinks {
-		k.start.hear(node, l.Hello.Position)
 		k.mergeMembers(nil, []*schema.Member{l.Hello.Member}, now)
 		k.refuseLink(l)
 		return
 	}
-	s := &linkState{node: node, lastHeard: now}
+	s := &linkState{node: node, lastHeard: now, position: l.Hello.Position}
 	k.links[l] = s
-	k.start.hear(node, l.Hello.Position)
+	k.start.hear(node, l.Hello.Position, false)
 	// The new neighbour hears of open rollouts and crashes at once, and of this node itself.
 	f := k.frame()
 	f.Members = []*schema.Member{k.table.Self()}
-	if known := k.table.Get(node); known != nil && !isUsable(known) {
-		// The neighbour hears that it is held dead, and refutes.
+	if known := k.table.Get(node); known != nil && (!isUsable(known) || known.UpstreamLeft) {
+		// The neighbour hears that it is held dead, and refutes, or what an earlier process of it has promised.
 		f.Members = append(f.Members, known)
 	}
 	for _, p := range k.progress {
 		f.Progress = append(f.Progress, p)
 	}
 	f.CrashMarks = k.crashMarks()
-	f.Heartbeat = k.heartbeat()
+	f.Heartbeat = k.heartbeat(now)
 	l.Send(f)
 	k.mergeMembers(l, []*schema.Member{l.Hello.Member}, now)
-	k.pullIfBehind(l, s, l.Hello.Position, now)
+	k.pullIfBehind(now)
 }
 
 // refuseLink names other peers and ends the link.
@@ -110,6 +108,7 @@
 		return
 	}
 	delete(k.links, l)
+	k.endPull(l)
 	if !s.parted && !k.isLinked(s.node) {
 		// A closed link is no proof of death: dial again, and suspect if that fails.
 		if m := k.table.Get(s.node); m != nil && isUsable(m) {
@@ -161,32 +160,40 @@
 	}
 }
 
-func (k *Controller) heartbeat() *schema.Heartbeat {
-	return &schema.Heartbeat{Position: k.state.Position, StateDigest: k.digest, MemberDigest: k.table.Digest()}
+func (k *Controller) heartbeat(now time.Time) *schema.Heartbeat {
+	return &schema.Heartbeat{Position: k.state.Position, StateDigest: k.digest, MemberDigest: k.table.Digest(), LogAgeMs: k.news.encode(now)}
 }
 
-func (k *Controller) sendHeartbeats() {
+// sendHeartbeats tells neighbours how this node stands, and puts off the next heartbeat.
+func (k *Controller) sendHeartbeats(now time.Time) {
+	k.beatDue = false
+	k.nextHeartbeat = now.Add(k.common.Settings.Heartbeat)
 	f := k.frame()
-	f.Heartbeat = k.heartbeat()
+	f.Heartbeat = k.heartbeat(now)
 	k.broadcast(f, nil)
 }
 
 func (k *Controller) handleFrame(l *gossiper.Link, s *linkState, f *schema.Frame, now time.Time) {
-	if f.Heartbeat != nil {
-		k.handleHeartbeat(l, s, f.Heartbeat, now)
-	}
 	if len(f.Members) > 0 {
 		k.mergeMembers(l, f.Members, now)
 	}
 	if len(f.Records) > 0 {
-		k.receiveRecords(l, s, f.Records, now)
+		k.receiveRecords(l, f.Records, now)
 	}
 	if f.Pull != nil {
 		k.answerPull(l, f.Pull)
 	}
 	if f.Snapshot != nil {
+		k.endPull(l)
 		k.adoptSnapshot(f.Snapshot, now)
 	}
+	if f.Delta != nil {
+		k.endPull(l)
+		k.adoptDelta(l, f.Delta, now)
+	}
+	if f.Heartbeat != nil {
+		k.handleHeartbeat(l, s, f.Heartbeat, now)
+	}
 	if f.BucketDigests != nil {
 		k.answerDigests(l, f.BucketDigests)
 	}
@@ -197,6 +204,8 @@
 		k.mergeCrashes(f.CrashMarks, l, now)
 	}
 	if f.Busy != nil {
+		s.position = 0
+		k.endPull(l)
 		k.dialOneOf(f.Busy.ControlAddresses, now)
 	}
 	if f.Parting != nil {
@@ -211,18 +220,25 @@
 }
 
 func (k *Controller) handleHeartbeat(l *gossiper.Link, s *linkState, h *schema.Heartbeat, now time.Time) {
-	k.start.hear(s.node, h.Position)
-	k.pullIfBehind(l, s, h.Position, now)
+	s.position = max(s.position, h.Position)
+	k.start.hear(s.node, h.Position, h.LogAgeMs > 0)
+	if h.LogAgeMs > 0 && h.Position <= k.state.Position {
+		k.hearOfRead(decodeReadTime(h.LogAgeMs, now))
+	}
+	k.pullIfBehind(now)
 	if h.Position == k.state.Position && h.StateDigest != k.digest {
 		k.record("state-digest-mismatch", map[string]string{"neighbour": s.node})
 	}
 	if h.MemberDigest == k.table.Digest() {
-		s.mismatches = 0
+		s.differsSince = time.Time{}
 		return
 	}
-	s.mismatches++
-	if s.mismatches >= mismatchesToCompare || k.table.Len() < 3 {
-		s.mismatches = 0
+	if s.differsSince.IsZero() {
+		s.differsSince = now
+	}
+	// Facts that are under way make tables differ for a moment.
+	if now.Sub(s.differsSince) >= 2*k.common.Settings.Heartbeat || k.table.Len() < 3 {
+		s.differsSince = time.Time{}
 		f := k.frame()
 		f.BucketDigests = &schema.BucketDigests{Digests: k.table.BucketDigests()}
 		l.Send(f)
@@ -246,6 +262,7 @@
 func (k *Controller) mergeMembers(from *gossiper.Link, members []*schema.Member, now time.Time) {
 	var changed []*schema.Member
 	for _, m := range members {
+		k.recallPromise(m)
 		before := k.table.Get(m.GetNode())
 		merged := k.table.Merge(m, now)
 		if merged == nil {
@@ -266,6 +283,17 @@
 	k.spreadMembers(from, changed...)
 }
 
+// recallPromise takes over from neighbours what an earlier process of this node has promised: the log may be away.
+func (k *Controller) recallPromise(m *schema.Member) {
+	self := k.table.Self()
+	if m.GetNode() != self.Node || !m.UpstreamLeft || m.Incarnation >= self.Incarnation || k.lease.leftInstance != "" {
+		return
+	}
+	k.lease.recall(m)
+	k.view.dirtyTime = true
+	k.describeUpstream()
+}
+
 func statusName(s schema.MemberStatus) string {
 	switch s {
 	case schema.MemberStatus_MEMBER_STATUS_ALIVE:
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -10,19 +10,15 @@
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
-const (
-	// readWait is how long a read of the log waits for new records.
-	readWait = 12 * time.Second
-	// idleCheck is how often a node that is no reader looks whether it has become one.
-	idleCheck = 200 * time.Millisecond
-	// maxReadBackoff bounds the pause after failed reads.
-	maxReadBackoff = 2 * time.Second
-)
+// maxReadBackoff bounds the pause after failed reads.
+const maxReadBackoff = 2 * time.Second
 
-// logReader follows the configuration stream while the node holds the duty of a reader.
+// logReader follows the configuration stream while the node reads the log.
 type logReader struct {
 	controller *Controller
 	active     atomic.Bool
+	// woken holds a token after the reader was made active.
+	woken chan struct{}
 	// lost tells that the last read failed.
 	lost   atomic.Bool
 	ctx    context.Context
@@ -32,7 +28,21 @@
 
 func newLogReader(k *Controller) *logReader {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &logReader{controller: k, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	return &logReader{controller: k, woken: make(chan struct{}, 1), ctx: ctx, cancel: cancel, done: make(chan struct{})}
+}
+
+// setActive tells the reader whether to read. It reports whether that is new.
+func (r *logReader) setActive(reads bool) bool {
+	if r.active.Swap(reads) == reads {
+		return false
+	}
+	if reads {
+		select {
+		case r.woken <- struct{}{}:
+		default:
+		}
+	}
+	return true
 }
 
 func (r *logReader) close() {
@@ -48,7 +58,7 @@
 	pause.MaxInterval = maxReadBackoff
 	for r.ctx.Err() == nil {
 		if !r.active.Load() {
-			r.sleep(idleCheck)
+			r.awaitDuty()
 			continue
 		}
 		if err := r.readOnce(); err != nil {
@@ -59,6 +69,13 @@
 	}
 }
 
+func (r *logReader) awaitDuty() {
+	select {
+	case <-r.ctx.Done():
+	case <-r.woken:
+	}
+}
+
 func (r *logReader) sleep(d time.Duration) {
 	select {
 	case <-r.ctx.Done():
@@ -82,6 +99,7 @@
 	k.do(func() {
 		k.start.hearLog(page.Next)
 		k.applyRecords(page.Records, nil)
+		k.hearOfRead(time.Now())
 	})
 	return nil
 }
@@ -107,6 +125,9 @@
 		k.common.Logger.Error("records expired and no state retained", "position", position, "first", page.First, "reason", err)
 		return err
 	}
-	k.do(func() { k.adoptSnapshot(&schema.Snapshot{State: state}, time.Now()) })
+	k.do(func() {
+		k.adoptSnapshot(&schema.Snapshot{State: state}, time.Now())
+		k.hearOfRead(time.Now())
+	})
 	return nil
 }
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -13,10 +13,10 @@
 )
 
 // receiveRecords takes records from a neighbour.
-func (k *Controller) receiveRecords(l *gossiper.Link, s *linkState, records []*schema.LogRecord, now time.Time) {
-	s.pulledAt = time.Time{}
+func (k *Controller) receiveRecords(l *gossiper.Link, records []*schema.LogRecord, now time.Time) {
+	k.endPull(l)
 	if k.applyRecords(records, l) {
-		k.pull(l, s, now)
+		k.pull(l, now)
 	}
 }
 
@@ -37,8 +37,7 @@
 	if len(fresh) == 0 {
 		return gap
 	}
-	k.digest = k.state.Digest()
-	k.publishHello()
+	k.noteMoved()
 	if k.common.Settings.FloodRecords {
 		f := k.frame()
 		f.Records = fresh
@@ -58,7 +57,9 @@
 		k.record("record-void", map[string]string{"offset": strconv.FormatUint(r.Offset, 10), "reason": err.Error()})
 	}
 	k.setState(next)
-	k.history.add(r)
+	if k.common.Settings.FloodRecords {
+		k.history.add(r)
+	}
 	if isCheckpoint(r) {
 		k.lastCheckpoint = r.Offset
 	}
@@ -73,6 +74,7 @@
 func (k *Controller) setState(next *reducer.State) {
 	before := k.state
 	k.state = next
+	k.changes.Note(before, next)
 	k.hearRollouts(time.Now())
 	if next.Version == before.Version && len(next.Rollouts) == len(before.Rollouts) && !next.HasOpenVersions() {
 		return
@@ -84,61 +86,57 @@
 	k.record("configuration-in-force", map[string]string{"version": version, "preset": next.ActivePreset})
 }
 
-// pullIfBehind asks a neighbour that is ahead, unless this node reads the log itself and will have it at once.
-func (k *Controller) pullIfBehind(l *gossiper.Link, s *linkState, heard uint64, now time.Time) {
-	lag := k.lag.lag(k.state.Position, heard, now)
-	if heard <= k.state.Position || now.Sub(s.pulledAt) < pullTimeout {
-		return
-	}
-	if k.readsLog() && lag < pullGrace {
+// adoptSnapshot replaces the state by a later one, whole.
+func (k *Controller) adoptSnapshot(m *schema.Snapshot, now time.Time) {
+	next, err := reducer.DecodeState(m.State)
+	if err != nil {
+		k.common.Logger.Warn("snapshot refused", "reason", err)
+		k.record("snapshot-refused", map[string]string{"reason": err.Error()})
 		return
 	}
-	k.pull(l, s, now)
-}
-
-// readsLog tells whether this node follows the log itself, and can.
-func (k *Controller) readsLog() bool {
-	return k.start.ready && k.reader.active.Load() && !k.reader.lost.Load()
-}
-
-// pull asks a neighbour for what this node lacks.
-func (k *Controller) pull(l *gossiper.Link, s *linkState, now time.Time) {
-	s.pulledAt = now
-	f := k.frame()
-	f.Pull = &schema.Pull{Position: k.state.Position}
-	l.Send(f)
+	k.adopt(next, now)
 }
 
-func (k *Controller) answerPull(l *gossiper.Link, p *schema.Pull) {
-	if p.Position >= k.state.Position {
+// adoptDelta replaces the state by a later one that differs from it as a neighbour has told.
+func (k *Controller) adoptDelta(l *gossiper.Link, d *schema.Delta, now time.Time) {
+	if d.GetChanged().GetPosition() <= k.state.Position {
 		return
 	}
-	f := k.frame()
-	if records, ok := k.history.from(p.Position); ok {
-		f.Records = records
-	} else if k.snapshotLimit.Allow() {
-		f.Snapshot = &schema.Snapshot{State: k.state.Encode()}
-	} else {
-		f.Busy = &schema.Busy{ControlAddresses: k.someAddresses()}
-	}
-	l.Send(f)
-}
-
-// adoptSnapshot replaces the state by a later one, whole.
-func (k *Controller) adoptSnapshot(m *schema.Snapshot, now time.Time) {
-	next, err := reducer.DecodeState(m.State)
+	next, err := k.state.WithDelta(d)
 	if err != nil {
-		k.common.Logger.Warn("snapshot refused", "reason", err)
-		k.record("snapshot-refused", map[string]string{"reason": err.Error()})
+		k.common.Logger.Warn("delta refused", "neighbour", k.links[l].node, "position", k.state.Position, "reason", err)
+		k.record("delta-refused", map[string]string{"reason": err.Error()})
+		// The neighbour knows no state before position 0, and answers with its whole one.
+		f := k.frame()
+		f.Pull = &schema.Pull{}
+		l.Send(f)
 		return
 	}
+	k.adopt(next, now)
+}
+
+func (k *Controller) adopt(next *reducer.State, now time.Time) {
 	if next.Position <= k.state.Position || next.Version < k.state.Version {
 		return
 	}
 	k.setState(next)
 	k.history = history{}
 	k.lastCheckpoint = next.Position
+	k.noteMoved()
+	k.checkStart(now)
+}
+
+// noteMoved lets neighbours hear of a new position.
+func (k *Controller) noteMoved() {
 	k.digest = k.state.Digest()
 	k.publishHello()
-	k.checkStart(now)
+	k.beatDue = k.beatDue || !k.common.Settings.FloodRecords
+}
+
+// hearOfRead takes in that the log was read and that this node has applied what was there.
+func (k *Controller) hearOfRead(readAt time.Time) {
+	if k.news.hear(readAt) {
+		k.beatDue = true
+	}
+	k.checkStart(time.Now())
 }
--- /dev/null
+++ b/internal/controller/rejoiner.go
@@ -0,0 +1,79 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// seeds is how many usable members the log names at least, for nodes that start.
+const seeds = 8
+
+// rejoin looks in the log for nodes that this one does not know, so that parts of the mesh that were separated, or
+// never met, find each other, and sees to it that the log names enough usable members.
+func (k *Controller) rejoin(now time.Time) {
+	if now.Before(k.nextRejoin) || !k.start.ready {
+		return
+	}
+	k.nextRejoin = now.Add(k.common.Settings.RejoinInterval)
+	go (&rejoiner{controller: k}).run()
+}
+
+// rejoiner looks once for nodes that this one does not know.
+type rejoiner struct {
+	controller *Controller
+}
+
+// run reads what the log tells a starting node.
+func (r *rejoiner) run() {
+	k := r.controller
+	d, err := k.config.Log.Discover(context.Background())
+	if err != nil {
+		k.common.Logger.Debug("log not reached", "reason", err)
+		return
+	}
+	k.do(func() {
+		usable := k.table.Usable()
+		unknown := slices.DeleteFunc(slices.Clone(d.Members), func(m *schema.Member) bool { return isKnown(usable, m) })
+		k.dialSome(unknown, time.Now())
+		k.renewSeeds(d.Members, usable)
+	})
+}
+
+// renewSeeds writes records of further members if the log names too few usable ones, and drops those of members that
+// are gone.
+func (k *Controller) renewSeeds(named, usable []*schema.Member) {
+	var live []*schema.Member
+	for _, m := range named {
+		known := k.table.Get(m.Node)
+		switch {
+		case isKnown(usable, m):
+			live = append(live, m)
+		case known != nil && !isUsable(known):
+			k.dropSeed(m)
+		}
+	}
+	for _, i := range k.random.Perm(len(usable)) {
+		if len(live) >= seeds {
+			return
+		}
+		if m := usable[i]; !isKnown(live, m) {
+			k.saveSeed(m)
+			live = append(live, m)
+		}
+	}
+}
+
+// saveSeed lets starting nodes find a member.
+func (k *Controller) saveSeed(m *schema.Member) {
+	log := k.config.Log
+	k.appender.queue(appendJob{what: "seed", write: func(ctx context.Context) error { return log.SaveSeed(ctx, m) }})
+}
+
+// dropSeed removes the record by which starting nodes find a member.
+func (k *Controller) dropSeed(m *schema.Member) {
+	log := k.config.Log
+	k.appender.queue(appendJob{what: "seed", write: func(ctx context.Context) error { return log.DropSeed(ctx, m.Node) }})
+}
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -86,7 +86,7 @@
 		last = &router.Snapshot{Node: k.table.Self().Node, Services: map[string]*router.Service{}}
 	}
 	next := *last
-	next.Reason = k.start.reason(k.state.Position, k.table.Len(), now)
+	next.Reason = k.notReady(now)
 	next.Ready = k.start.ready
 	next.Configured = k.state.Version > 0
 	next.Leaving = k.leaving
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -41,7 +41,7 @@
 		copyField(&b, m, headerRefusal)
 	}
 	x.writeFraming(&b, m)
-	x.caller.conn.write(b.Bytes())
+	x.write(b.Bytes())
 }
 
 // captured returns the head that is kept. An upstream's copies of this system's own lines are left out.
@@ -108,14 +108,14 @@
 		return false
 	}
 	if !x.chunkedOut {
-		x.caller.conn.write(data)
-		return x.caller != nil && x.caller.conn.full()
+		x.write(data)
+		return x.caller != nil && x.outputFull()
 	}
 	var b bytes.Buffer
 	b.Grow(len(data) + 16)
 	writeChunk(&b, data)
-	x.caller.conn.write(b.Bytes())
-	return x.caller != nil && x.caller.conn.full()
+	x.write(b.Bytes())
+	return x.caller != nil && x.outputFull()
 }
 
 // writeEnd completes the answer.
@@ -124,7 +124,7 @@
 		x.releaseWhole()
 	}
 	if x.chunkedOut && x.caller != nil {
-		x.caller.conn.write([]byte(lastChunk))
+		x.write([]byte(lastChunk))
 	}
 	x.end(x.capture, outcome)
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -97,7 +97,7 @@
 		x.request.streamed = true
 		x.request.body = nil
 		if x.caller != nil && !c.conn.full() {
-			x.caller.conn.resume()
+			x.caller.resume()
 		}
 	}
 }
@@ -164,7 +164,7 @@
 // requestDrained lets a paused caller go on.
 func (a *attempt) requestDrained() {
 	if caller := a.exchange.caller; caller != nil {
-		caller.conn.resume()
+		caller.resume()
 	}
 }
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -62,6 +62,10 @@
 	// closeAfter tells that the caller's connection ends with the answer.
 	closeAfter bool
 	lastByte   time.Time
+	// output is what has been written of the answer before its turn; it is empty from its turn on.
+	output []byte
+	// cutAtTurn tells that the answer can't be completed: the connection ends when its turn comes.
+	cutAtTurn bool
 
 	// attempt is the try under way; claim asks for the fate of a silent or lost one.
 	attempt *attempt
@@ -292,7 +296,7 @@
 	if x.caller != nil {
 		if !x.request.complete {
 			// The rest of the body is read and dropped.
-			x.caller.conn.resume()
+			x.caller.resume()
 		}
 		x.caller.finish(x)
 	}
@@ -303,6 +307,12 @@
 func (x *exchange) cut() {
 	x.forwarder.stats.Cut.Add(1)
 	x.dropAttempts()
+	if x.caller != nil && !x.hasTurn() {
+		x.output = nil
+		x.cutAtTurn = true
+		x.end(nil, runUnknown)
+		return
+	}
 	caller := x.caller
 	x.caller = nil
 	x.end(nil, runUnknown)
--- a/internal/forwarder/serverconn.go
+++ b/internal/forwarder/serverconn.go
@@ -13,7 +13,8 @@
 	maxDiscard = 16 << 20
 )
 
-// serverConn is a connection from a caller or from another node. Requests are answered in order.
+// serverConn is a connection from a caller or from another node. Requests are answered in order; some are begun before
+// their turn.
 type serverConn struct {
 	forwarder *Forwarder
 	conn      *conn
@@ -21,7 +22,7 @@
 	fromPeer bool
 	openedAt time.Time
 	usedAt   time.Time
-	// queue holds the requests that are not answered; the first one is being served.
+	// queue holds the requests that are not answered, in the order in which they came.
 	queue []*exchange
 	// reading is the exchange whose body is being read, or nil.
 	reading *exchange
@@ -41,7 +42,7 @@
 	s.reading = x
 	s.discarded = 0
 	x.countBody(max(m.length, 0))
-	if m.get(headerExpect) != "" && !x.oversized {
+	if m.get(headerExpect) != "" && !x.oversized && x.hasTurn() {
 		s.conn.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	if len(s.queue) >= maxPipelined {
@@ -79,16 +80,6 @@
 	return nil
 }
 
-// startNext serves the first request of the queue if enough of it has been read.
-func (s *serverConn) startNext() {
-	if len(s.queue) == 0 {
-		return
-	}
-	if x := s.queue[0]; !x.started && x.ready() {
-		x.start()
-	}
-}
-
 // finish goes on to the next request once an answer has been written and its request read.
 func (s *serverConn) finish(x *exchange) {
 	if len(s.queue) == 0 || s.queue[0] != x || !x.request.complete {
@@ -97,12 +88,11 @@
 	s.queue = s.queue[1:]
 	s.usedAt = time.Now()
 	if x.closeAfter {
-		s.conn.closeWhenSent()
+		s.endConnection()
 		return
 	}
-	if len(s.queue) < maxPipelined && s.reading == nil {
-		s.conn.resume()
-	}
+	s.resume()
+	s.giveTurn()
 	s.startNext()
 }
 
--- /dev/null
+++ b/internal/forwarder/turn_test.go
@@ -0,0 +1,129 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// pipeline sends requests on one connection without waiting for answers.
+func pipeline(t *testing.T, n *testNode, requests ...string) *bufio.Reader {
+	t.Helper()
+	callers, _ := n.Addresses()
+	c, err := net.Dial("tcp", callers)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, strings.Join(requests, ""))
+	qt.Assert(t, err, qt.IsNil)
+	return bufio.NewReader(c)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+
+// nextBody reads one answer.
+func nextBody(t *testing.T, r *bufio.Reader) string {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	qt.Assert(t, err, qt.IsNil)
+	return string(body)
+}
+
+// TestPipelinedCallsRunTogether sends four lookups ahead: they take as long as one of them, not four times as long.
+func TestPipelinedCallsRunTogether(t *testing.T) {
+	const work, lookups = 200 * time.Millisecond, 4
+	entry, _, _ := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(work)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	began := time.Now()
+	var requests []string
+	for i := range lookups {
+		requests = append(requests, get(fmt.Sprintf("/get/%d", i)))
+	}
+	r := pipeline(t, entry, requests...)
+	for i := range lookups {
+		qt.Assert(t, nextBody(t, r), qt.Equals, fmt.Sprintf("/get/%d", i))
+	}
+	took := time.Since(began)
+	qt.Assert(t, took < 2*work, qt.IsTrue, qt.Commentf("took %v", took))
+}
+
+// TestLongAnswersWaitForTheirTurn lets an answer longer than what is kept overtake a slow one: both arrive whole.
+func TestLongAnswersWaitForTheirTurn(t *testing.T) {
+	const long = 3 << 20
+	entry, _, _ := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/get/slow" {
+			time.Sleep(200 * time.Millisecond)
+			_, _ = io.WriteString(w, "slow")
+			return
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", long))
+	})
+	r := pipeline(t, entry, get("/get/slow"), get("/get/long"), get("/get/long"))
+	qt.Assert(t, nextBody(t, r), qt.Equals, "slow")
+	for range 2 {
+		qt.Assert(t, len(nextBody(t, r)), qt.Equals, long)
+	}
+}
+
+// TestPaymentsWaitForTheirTurn sends a payment behind a lookup: it is not begun before the lookup has been answered.
+func TestPaymentsWaitForTheirTurn(t *testing.T) {
+	var answered, early atomic.Bool
+	entry, _, _ := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			early.Store(!answered.Load())
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+		answered.Store(true)
+	})
+	r := pipeline(t, entry, get("/get/a"), "POST /post/a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n1")
+	nextBody(t, r)
+	nextBody(t, r)
+	qt.Assert(t, early.Load(), qt.IsFalse)
+}
+
+// TestNothingRunsBehindTheLastAnswer sends a request behind one that asks for the end of the connection.
+func TestNothingRunsBehindTheLastAnswer(t *testing.T) {
+	var runs atomic.Int32
+	entry, _, _ := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	r := pipeline(t, entry, "GET /get/last HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", get("/get/behind"))
+	qt.Assert(t, nextBody(t, r), qt.Equals, "/get/last")
+	_, err := r.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	qt.Assert(t, runs.Load(), qt.Equals, int32(1))
+}
+
+// TestCutAnswerEndsTheConnectionAtItsTurn lets the second answer break off while the first one is awaited: the first
+// arrives whole, then the connection ends.
+func TestCutAnswerEndsTheConnectionAtItsTurn(t *testing.T) {
+	entry, _, _ := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/get/slow" {
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(w, "slow")
+			return
+		}
+		c, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 400_000))
+		_ = c.Close()
+	})
+	r := pipeline(t, entry, get("/get/slow"), get("/get/cut"))
+	qt.Assert(t, nextBody(t, r), qt.Equals, "slow")
+	_, err := r.ReadByte()
+	qt.Assert(t, err, qt.IsNotNil)
+}
--- a/internal/logclient/configlog.go
+++ b/internal/logclient/configlog.go
@@ -22,14 +22,16 @@
 // NewConfigLog returns a ConfigLog.
 func NewConfigLog(c *Client) *ConfigLog { return &ConfigLog{client: c} }
 
-// Begin returns the end of the configuration stream and the nodes that announced themselves lately.
+// Begin returns the end of the configuration stream.
 func (l *ConfigLog) Begin(ctx context.Context) (controller.Beginning, error) {
 	_, next, err := l.client.Bounds(ctx, ConfigStream)
-	if err != nil {
-		return controller.Beginning{}, err
-	}
+	return controller.Beginning{Next: next}, err
+}
+
+// Discover returns the nodes that the join stream names.
+func (l *ConfigLog) Discover(ctx context.Context) (controller.Discovery, error) {
 	members, err := l.members(ctx)
-	return controller.Beginning{Next: next, Members: members}, err
+	return controller.Discovery{Members: members}, err
 }
 
 func (l *ConfigLog) members(ctx context.Context) ([]*schema.Member, error) {
@@ -114,12 +116,18 @@
 	return err
 }
 
-// Announce adds the node's control address to the join stream.
-func (l *ConfigLog) Announce(ctx context.Context, self *schema.Member) error {
-	_, err := l.client.Append(ctx, JoinStream, []byte(self.ControlAddress))
+// SaveSelf does nothing: upstreams of this interface don't leave for good.
+func (l *ConfigLog) SaveSelf(context.Context, *schema.Member) error { return nil }
+
+// SaveSeed adds a member's control address to the join stream.
+func (l *ConfigLog) SaveSeed(ctx context.Context, m *schema.Member) error {
+	_, err := l.client.Append(ctx, JoinStream, []byte(m.ControlAddress))
 	return err
 }
 
+// DropSeed does nothing: the join stream forgets its oldest records.
+func (l *ConfigLog) DropSeed(context.Context, string) error { return nil }
+
 // SaveProgress does nothing: the overlay holds the progress, and an outcome record closes the rollout.
 func (l *ConfigLog) SaveProgress(context.Context, *schema.Rollout, *schema.Progress) error {
 	return nil
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -50,6 +50,11 @@
 
 // IsAmongFirst reports whether a member is among the first n for a key.
 func IsAmongFirst(key, member string, n int, others []string) bool {
+	return Place(key, member, others) < n
+}
+
+// Place returns how many of the others come before a member for a key.
+func Place(key, member string, others []string) int {
 	own := Score(key, member)
 	better := 0
 	for _, o := range others {
@@ -61,5 +66,5 @@
 			better++
 		}
 	}
-	return better < n
+	return better
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -46,7 +46,8 @@
 	Readers         int           `help:"Nodes of a zone that read the log." default:"2"`
 	FloodRecords    bool          `help:"Send records on to neighbours at once. Without it a node that lags asks for them." default:"true" negatable:""`
 	CheckpointEvery int           `help:"Records between checkpoints; 0 writes none." default:"500"`
-	RejoinInterval  time.Duration `help:"Interval at which one node of a zone looks in the log for nodes that the mesh does not know." default:"5s"`
+	RejoinInterval  time.Duration `help:"Interval at which one node looks in the log for nodes that the mesh does not know." default:"5s"`
+	JoinSpread      time.Duration `help:"Time over which nodes that start together spread their first look into the log." default:"0s"`
 
 	// Rollouts.
 	ReportInterval time.Duration `help:"Interval at which evidence on rollouts is sent to their controller." default:"200ms"`
@@ -130,6 +131,9 @@
 			return settingError(key, fmt.Sprint(value), "a number of at least 1")
 		}
 	}
+	if n.JoinSpread < 0 || n.JoinSpread > time.Minute {
+		return settingError("join-spread", n.JoinSpread.String(), "a duration from 0s to 1m")
+	}
 	if n.CheckpointEvery < 0 {
 		return settingError("checkpoint-every", fmt.Sprint(n.CheckpointEvery), "a number of at least 0")
 	}
