Look for neighbours again while a node starts, and read the log sooner where none helps

Ruled out: the deltas and the pull; all nodes were ready 20 ms after the first read. Change: a starting node without neighbours dials again every 200 ms; it reads the log itself after 0.1 to 0.5 s.

--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -41,7 +41,7 @@
 		since: k.start.since, lag: k.lag.lag(k.state.Position, k.newestHeard(), now), patience: k.patience,
 	}, now)
 	if k.reader.setActive(reads) {
-		k.common.Logger.Debug("log reader", "active", reads, "news-age", k.news.age(now))
+		k.common.Logger.Debug("log reader", "active", reads, "news-age", k.news.String())
 		k.record("log-reader", map[string]string{"active": strconv.FormatBool(reads)})
 	}
 }
--- a/internal/controller/freshness.go
+++ b/internal/controller/freshness.go
@@ -47,6 +47,14 @@
 // isFresh tells whether the newest position that was heard of is that of the log.
 func (f *freshness) isFresh(now time.Time) bool { return f.known() && f.age(now) <= freshNews }
 
+// String returns the age for a log line.
+func (f *freshness) String() string {
+	if !f.known() {
+		return "none"
+	}
+	return time.Since(f.readAt).Round(time.Millisecond).String()
+}
+
 // encode returns the age as it is told to neighbours: milliseconds plus one, or 0 if no read is known.
 func (f *freshness) encode(now time.Time) uint32 {
 	if !f.known() {
--- a/internal/controller/joiner.go
+++ b/internal/controller/joiner.go
@@ -11,10 +11,12 @@
 const (
 	joinRetry = time.Second
 	// peersFirst is how long a starting node that has found others leaves it to them to tell the configuration.
-	peersFirst = 300 * time.Millisecond
+	peersFirst = 100 * time.Millisecond
 	// ownReadSpread spreads the nodes that read it from the log after that, since the first of a mesh that has
 	// started as a whole tells all others.
-	ownReadSpread = time.Second
+	ownReadSpread = 400 * time.Millisecond
+	// dialInterval is how often a starting node without neighbours tries to reach some.
+	dialInterval = 200 * time.Millisecond
 	// dialledMembers is how many of the members that the log names are dialled at a time.
 	dialledMembers = 4
 )
@@ -22,6 +24,8 @@
 // joiner finds first peers and the newest configuration for a starting node.
 type joiner struct {
 	controller *Controller
+	// members are those that the log names, this node aside.
+	members []*schema.Member
 }
 
 // run tries until the node is ready.
@@ -35,8 +39,8 @@
 	if j.awaitReady(j.firstPause()) {
 		return
 	}
-	alone := !j.discover()
-	if !alone && j.awaitReady(peersFirst+randomUpTo(ownReadSpread)) {
+	j.discover()
+	if len(j.members) > 0 && j.awaitReady(peersFirst+randomUpTo(ownReadSpread)) {
 		return
 	}
 	for {
@@ -44,8 +48,8 @@
 		if j.awaitReady(joinRetry/2 + randomUpTo(joinRetry)) {
 			return
 		}
-		if alone {
-			alone = !j.discover()
+		if len(j.members) == 0 {
+			j.discover()
 		}
 	}
 }
@@ -66,52 +70,63 @@
 	return time.Duration(rand.Int64N(int64(d)))
 }
 
-// awaitReady reports whether the node became ready, or ended, within a time.
+// awaitReady reports whether the node became ready, or ended, within a time. Meanwhile it looks for neighbours.
 func (j *joiner) awaitReady(d time.Duration) bool {
-	select {
-	case <-j.controller.joined:
-		return true
-	case <-j.controller.done:
-		return true
-	case <-time.After(d):
-		return false
+	k := j.controller
+	ticker := time.NewTicker(dialInterval)
+	defer ticker.Stop()
+	end := time.After(d)
+	for {
+		select {
+		case <-k.joined:
+			return true
+		case <-k.done:
+			return true
+		case <-end:
+			return false
+		case <-ticker.C:
+			k.do(func() { k.findNeighbours(j.members, time.Now()) })
+		}
 	}
 }
 
-// discover dials members that the log names. It reports whether there are any.
-func (j *joiner) discover() bool {
+// discover takes in what the log tells of the mesh.
+func (j *joiner) discover() {
 	k := j.controller
 	d, err := k.config.Log.Discover(context.Background())
 	if err != nil {
 		k.common.Logger.Warn("log not reached", "reason", err)
-		return false
+		return
 	}
-	others := false
-	k.do(func() { others = k.meet(d, time.Now()) })
-	return others
+	k.do(func() { j.members = k.meet(d, time.Now()) })
 }
 
-// meet takes in what the log tells of the mesh. It reports whether other members were found.
-func (k *Controller) meet(d Discovery, now time.Time) bool {
+// meet takes in what the log tells of the mesh. It returns the other members that it names.
+func (k *Controller) meet(d Discovery, now time.Time) []*schema.Member {
 	k.keepProgress(d.Progress)
 	self := k.table.Self()
-	others := 0
+	var others []*schema.Member
 	for _, m := range d.Members {
 		if m.Node == self.Node {
 			k.lease.recall(m)
 			k.describeUpstream()
 		}
 		if m.ControlAddress != self.ControlAddress {
-			others++
+			others = append(others, m)
 		}
 	}
-	if others < seeds && !isKnown(d.Members, self) {
+	if len(others) < seeds && !isKnown(d.Members, self) {
 		k.saveSeed(self)
 	}
+	k.findNeighbours(others, now)
+	return others
+}
+
+// findNeighbours dials some members if this node has no link.
+func (k *Controller) findNeighbours(members []*schema.Member, now time.Time) {
 	if len(k.links) == 0 {
-		k.dialSome(d.Members, now)
+		k.dialSome(members, now)
 	}
-	return others > 0
 }
 
 // keepProgress merges progress of rollouts once the node knows the orders that it belongs to.
--- a/internal/controller/start.go
+++ b/internal/controller/start.go
@@ -77,6 +77,6 @@
 	}
 	k.savedProgress = nil
 	close(k.joined)
-	k.common.Logger.Info("node ready", "version", k.state.Version, "members", k.table.Len(), "news-age", k.news.age(now))
+	k.common.Logger.Info("node ready", "version", k.state.Version, "members", k.table.Len(), "news-age", k.news.String())
 	k.record("node-ready", nil)
 }
