Keep redials apart from those of starting nodes, link zones by bridges, and keep the digest over a delta

Change: a second between two dials of an address again, but for starting nodes without neighbours; at most five dials a second follow from refusals. Only a few nodes of a zone link to other zones. A delta costs the hashes of what it changes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -83,12 +83,14 @@
 	leaving  bool
 	draining bool
 
-	nextHeartbeat  time.Time
-	nextUpkeep     time.Time
-	nextRevival    time.Time
-	nextRejoin     time.Time
-	snapshotLimit  *rate.Limiter
-	lastCheckpoint uint64
+	nextHeartbeat time.Time
+	nextUpkeep    time.Time
+	nextRevival   time.Time
+	nextRejoin    time.Time
+	// nextRefusalDial is when a refusal may lead to a dial again.
+	nextRefusalDial time.Time
+	snapshotLimit   *rate.Limiter
+	lastCheckpoint  uint64
 	// beatDue asks for a heartbeat now.
 	beatDue bool
 	// savedProgress is kept until the node is ready. It is empty from then on.
--- a/internal/controller/joiner.go
+++ b/internal/controller/joiner.go
@@ -170,7 +170,7 @@
 		if m.ControlAddress == k.common.Settings.ControlListen || k.isLinked(m.Node) {
 			continue
 		}
-		k.dial(m.ControlAddress, now)
+		k.dialAfter(m.ControlAddress, dialInterval, now)
 		if dialled++; dialled == dialledMembers {
 			return
 		}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -13,7 +13,7 @@
 	// avoidTime is how long a node that refused a link is not asked again.
 	avoidTime = time.Minute
 	// redialAfter is the least time between two dials of one address.
-	redialAfter = dialInterval
+	redialAfter = time.Second
 )
 
 // linkState is what the loop knows of a link.
--- a/internal/controller/neighbours.go
+++ b/internal/controller/neighbours.go
@@ -1,14 +1,15 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/ranker"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
-// chooseNeighbours keeps a few outgoing links: the successor on the hash ring, which keeps
-// the overlay connected, one member of the own zone and one of another zone, both by rendezvous hashing.
+// chooseNeighbours keeps a few outgoing links.
 func (k *Controller) chooseNeighbours(now time.Time) {
 	if r := k.table.Revision(); r != k.wanted.revision || now.Sub(k.wanted.at) > neighbourLifetime {
 		k.wanted = wantedLinks{revision: r, at: now, members: neighbours(k.table.Self(), k.candidates(now))}
@@ -32,6 +33,16 @@
 	}
 }
 
+const (
+	// minBridges is how many nodes of a zone link to other zones at least, and nodesPerBridge gives their number in
+	// large zones.
+	minBridges     = 4
+	nodesPerBridge = 8
+)
+
+// refusalPause is the least time between two dials that follow from refusals.
+const refusalPause = 200 * time.Millisecond
+
 // neighbourLifetime bounds the age of a choice, since refusals expire.
 const neighbourLifetime = 5 * time.Second
 
@@ -53,50 +64,99 @@
 	return others
 }
 
+// neighbours returns the members that a node links to: its successor on the hash ring of its zone, which keeps the
+// zone connected, and another one of the zone. The bridges of a zone link to two other zones besides, and so does a
+// node that is alone in its zone.
 func neighbours(self *schema.Member, others []*schema.Member) []*schema.Member {
-	var successor, own, other *schema.Member
-	var gap, ownScore, otherScore uint64
-	position := ranker.Score("ring", self.Node)
-	for _, m := range others {
-		if d := ranker.Score("ring", m.Node) - position; successor == nil || d < gap {
-			successor, gap = m, d
-		}
+	zone := membersWhere(others, func(m *schema.Member) bool { return m.Zone == self.Zone })
+	chosen := firstOf(2, zone, func(m *schema.Member) uint64 {
+		return ranker.Score("ring", self.Node) - ranker.Score("ring", m.Node)
+	})
+	if len(chosen) == 2 {
+		successor := chosen[0]
+		rest := membersWhere(zone, func(m *schema.Member) bool { return m != successor })
+		chosen = append(chosen[:1], firstOf(1, rest, func(m *schema.Member) uint64 { return ranker.Score(self.Node, m.Node) })...)
+	}
+	if !isBridge(self, zone) {
+		return chosen
+	}
+	return append(chosen, bridgesOf(self, others)...)
+}
+
+// isBridge tells whether a node links to other zones: a few of each zone do, since bytes between zones cost more.
+func isBridge(self *schema.Member, zone []*schema.Member) bool {
+	names := make([]string, len(zone))
+	for i, m := range zone {
+		names[i] = m.Node
 	}
-	for _, m := range others {
-		if m == successor {
-			continue
+	return ranker.IsAmongFirst("bridge/"+self.Zone, self.Node, max(minBridges, (len(zone)+1)/nodesPerBridge), names)
+}
+
+// bridgesOf returns a member of the next zone in the order of names, so that all zones are connected, and one of any
+// other zone.
+func bridgesOf(self *schema.Member, others []*schema.Member) []*schema.Member {
+	score := func(m *schema.Member) uint64 { return ranker.Score(self.Node, m.Node) }
+	next := nextZone(self.Zone, others)
+	chosen := firstOf(1, membersWhere(others, func(m *schema.Member) bool { return m.Zone == next }), score)
+	elsewhere := membersWhere(others, func(m *schema.Member) bool { return m.Zone != self.Zone })
+	for _, m := range firstOf(2, elsewhere, score) {
+		if len(chosen) < 2 && !slices.Contains(chosen, m) {
+			chosen = append(chosen, m)
 		}
-		score := ranker.Score(self.Node, m.Node)
-		if m.Zone == self.Zone && (own == nil || score > ownScore) {
-			own, ownScore = m, score
+	}
+	return chosen
+}
+
+// nextZone returns the zone after a given one among the members' zones, in the order of names and around its end.
+func nextZone(zone string, members []*schema.Member) string {
+	var first, next string
+	for _, m := range members {
+		if m.Zone != zone && (first == "" || m.Zone < first) {
+			first = m.Zone
 		}
-		if m.Zone != self.Zone && (other == nil || score > otherScore) {
-			other, otherScore = m, score
+		if m.Zone > zone && (next == "" || m.Zone < next) {
+			next = m.Zone
 		}
 	}
-	var chosen []*schema.Member
-	for _, m := range []*schema.Member{successor, own, other} {
-		if m != nil {
-			chosen = append(chosen, m)
+	return cmp.Or(next, first)
+}
+
+func membersWhere(members []*schema.Member, keep func(*schema.Member) bool) []*schema.Member {
+	var kept []*schema.Member
+	for _, m := range members {
+		if keep(m) {
+			kept = append(kept, m)
 		}
 	}
-	return chosen
+	return kept
+}
+
+// firstOf returns the n members with the highest scores, best first.
+func firstOf(n int, members []*schema.Member, score func(*schema.Member) uint64) []*schema.Member {
+	sorted := slices.SortedFunc(slices.Values(members), func(a, b *schema.Member) int { return cmp.Compare(score(b), score(a)) })
+	return sorted[:min(n, len(sorted))]
 }
 
 // dialOneOf joins one of the peers named in a refusal. One is enough, and asking all of them
 // would make a storm of refusals out of each.
 func (k *Controller) dialOneOf(addresses []string, now time.Time) {
 	const enoughLinks = 3
-	if len(addresses) > 0 && len(k.links) < enoughLinks {
+	if len(addresses) > 0 && len(k.links) < enoughLinks && !now.Before(k.nextRefusalDial) {
+		k.nextRefusalDial = now.Add(refusalPause)
 		k.dial(addresses[k.random.IntN(len(addresses))], now)
 	}
 }
 
 func (k *Controller) dial(address string, now time.Time) {
+	k.dialAfter(address, redialAfter, now)
+}
+
+// dialAfter opens a link unless the address was dialled within a time.
+func (k *Controller) dialAfter(address string, pause time.Duration, now time.Time) {
 	if address == "" || address == k.table.Self().ControlAddress {
 		return
 	}
-	if now.Sub(k.dialing[address]) < redialAfter {
+	if now.Sub(k.dialing[address]) < pause {
 		return
 	}
 	k.dialing[address] = now
--- a/internal/controller/puller.go
+++ b/internal/controller/puller.go
@@ -84,7 +84,7 @@
 	}
 	if records, ok := k.history.from(p.Position); ok {
 		f.Records = records
-	} else if delta, ok := k.changes.Since(p.Position, k.state); ok {
+	} else if delta, ok := k.changes.Since(p.Position, k.state, k.digest); ok {
 		f.Delta = delta
 	} else if k.snapshotLimit.Allow() {
 		f.Snapshot = &schema.Snapshot{State: k.state.Encode()}
--- a/pkg/reducer/changes.go
+++ b/pkg/reducer/changes.go
@@ -36,12 +36,12 @@
 	}
 }
 
-// Since returns what a node at a position lacks of a state, or false if the position is too old.
-func (c *Changes) Since(position uint64, s *State) (*schema.Delta, bool) {
+// Since returns what a node at a position lacks of a state with a digest, or false if the position is too old.
+func (c *Changes) Since(position uint64, s *State, digest uint64) (*schema.Delta, bool) {
 	if c.floor == 0 || position < c.floor {
 		return nil, false
 	}
-	d := &schema.Delta{BasePosition: position, Changed: s.Encode(), Digest: s.Digest()}
+	d := &schema.Delta{BasePosition: position, Changed: s.encodeValues(), Digest: digest}
 	d.Changed.Services, d.RemovedServices = c.services.since(position, s.Services)
 	d.Changed.Routes, d.RemovedRoutes = c.routes.since(position, s.Routes)
 	d.Changed.Rollouts, d.RemovedRollouts = c.rollouts.since(position, s.Rollouts)
--- a/pkg/reducer/delta.go
+++ b/pkg/reducer/delta.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
@@ -13,13 +15,14 @@
 		return nil, invalid("delta from position %d at position %d", d.GetBasePosition(), s.Position)
 	}
 	m := d.GetChanged()
+	p := &patcher{sum: s.namedSum()}
 	next := &State{
 		Version:      m.GetVersion(),
 		Position:     m.GetPosition(),
-		Services:     patched(s.Services, m.GetServices(), d.GetRemovedServices(), (*schema.Service).GetName),
-		Routes:       patched(s.Routes, m.GetRoutes(), d.GetRemovedRoutes(), (*schema.Route).GetName),
-		Rollouts:     patched(s.Rollouts, m.GetRollouts(), d.GetRemovedRollouts(), (*schema.Rollout).GetName),
-		Presets:      patched(s.Presets, m.GetPresets(), d.GetRemovedPresets(), (*schema.Preset).GetName),
+		Services:     patched(p, kindService, s.Services, m.GetServices(), d.GetRemovedServices()),
+		Routes:       patched(p, kindRoute, s.Routes, m.GetRoutes(), d.GetRemovedRoutes()),
+		Rollouts:     patched(p, kindRollout, s.Rollouts, m.GetRollouts(), d.GetRemovedRollouts()),
+		Presets:      patched(p, kindPreset, s.Presets, m.GetPresets(), d.GetRemovedPresets()),
 		ActivePreset: m.GetActivePreset(),
 		DrainedNodes: map[string]bool{},
 		Verdicts:     m.GetVerdicts(),
@@ -29,6 +32,7 @@
 	for _, n := range m.GetDrainedNodes() {
 		next.DrainedNodes[n] = true
 	}
+	next.sum, next.summed = p.sum, true
 	if digest := next.Digest(); digest != d.GetDigest() {
 		return nil, invalid("delta to position %d leads to the digest %x instead of %x", next.Position, digest, d.GetDigest())
 	}
@@ -38,12 +42,32 @@
 	return next, nil
 }
 
+// patcher keeps the sum of the hashes of named values over the changes of a delta.
+type patcher struct {
+	sum uint64
+}
+
+// named is a value that has a name.
+type named interface {
+	proto.Message
+	GetName() string
+}
+
 // patched returns a copy of a map without the removed names and with the changed values.
-func patched[V any](values map[string]V, changed []V, removed []string, name func(V) string) map[string]V {
+func patched[V named](p *patcher, kind byte, values map[string]V, changed []V, removed []string) map[string]V {
 	next := maps.Clone(values)
 	for _, n := range removed {
-		delete(next, n)
+		if old, ok := next[n]; ok {
+			p.sum -= hashOf(kind, old)
+			delete(next, n)
+		}
+	}
+	for _, v := range changed {
+		if old, ok := next[v.GetName()]; ok {
+			p.sum -= hashOf(kind, old)
+		}
+		p.sum += hashOf(kind, v)
+		next[v.GetName()] = v
 	}
-	index(next, changed, name)
 	return next
 }
--- a/pkg/reducer/delta_test.go
+++ b/pkg/reducer/delta_test.go
@@ -38,7 +38,7 @@
 		newest := states[len(states)-1]
 		base := rapid.IntRange(1, len(states)-1).Draw(t, "base")
 		own := rapid.IntRange(base, len(states)-1).Draw(t, "own")
-		d, ok := c.Since(uint64(base), newest)
+		d, ok := c.Since(uint64(base), newest, newest.Digest())
 		if !ok {
 			t.Fatalf("position %d is too old", base)
 		}
@@ -49,6 +49,13 @@
 		if got.Digest() != newest.Digest() {
 			t.Fatal("digests differ")
 		}
+		decoded, err := DecodeState(got.Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if decoded.Digest() != newest.Digest() {
+			t.Fatal("the digest kept over a delta differs from a fresh one")
+		}
 	})
 }
 
@@ -65,7 +72,7 @@
 	timeouts["route-7"] = 900
 	second := routed(2, timeouts)
 	c.Note(first, second)
-	d, ok := c.Since(1, second)
+	d, ok := c.Since(1, second, second.Digest())
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, proto.Size(d) < most, qt.IsTrue, qt.Commentf("%d bytes", proto.Size(d)))
 }
@@ -76,12 +83,12 @@
 	first, second := routed(1, map[string]uint32{"a": 1}), routed(2, map[string]uint32{"a": 2})
 	c.Note(NewState(), first)
 	c.Note(first, second)
-	d, ok := c.Since(1, second)
+	d, ok := c.Since(1, second, second.Digest())
 	qt.Assert(t, ok, qt.IsTrue)
 	_, err := routed(1, map[string]uint32{"a": 1, "b": 1}).WithDelta(d)
 	qt.Assert(t, err, qt.IsNotNil)
 	_, err = NewState().WithDelta(d)
 	qt.Assert(t, err, qt.IsNotNil)
-	_, ok = c.Since(0, second)
+	_, ok = c.Since(0, second, second.Digest())
 	qt.Assert(t, ok, qt.IsFalse)
 }
--- a/pkg/reducer/state.go
+++ b/pkg/reducer/state.go
@@ -5,9 +5,6 @@
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
@@ -35,6 +32,10 @@
 	Label string
 	// Limits bound what callers may send. It is nil where the configuration says nothing.
 	Limits *schema.Limits
+
+	// sum is that of the hashes of all named values, once summed is set. It saves work and tells nothing new.
+	sum    uint64
+	summed bool
 }
 
 // NewState returns the state before the first record.
@@ -66,6 +67,7 @@
 // clone returns a state whose maps can be changed without touching the receiver.
 func (s *State) clone() *State {
 	next := *s
+	next.summed = false
 	next.Services = maps.Clone(s.Services)
 	next.Routes = maps.Clone(s.Routes)
 	next.Rollouts = maps.Clone(s.Rollouts)
@@ -122,13 +124,19 @@
 
 // Encode returns the state as a message with sorted lists.
 func (s *State) Encode() *schema.State {
+	m := s.encodeValues()
+	m.Services = sortedValues(s.Services)
+	m.Routes = sortedValues(s.Routes)
+	m.Rollouts = sortedValues(s.Rollouts)
+	m.Presets = sortedValues(s.Presets)
+	return m
+}
+
+// encodeValues returns the message without the lists of what has a name.
+func (s *State) encodeValues() *schema.State {
 	return &schema.State{
 		Version:      s.Version,
 		Position:     s.Position,
-		Services:     sortedValues(s.Services),
-		Routes:       sortedValues(s.Routes),
-		Rollouts:     sortedValues(s.Rollouts),
-		Presets:      sortedValues(s.Presets),
 		ActivePreset: s.ActivePreset,
 		DrainedNodes: slices.Sorted(maps.Keys(s.DrainedNodes)),
 		Verdicts:     s.Verdicts,
@@ -137,15 +145,6 @@
 	}
 }
 
-// Digest returns a hash that is equal on nodes with equal states.
-func (s *State) Digest() uint64 {
-	bytes, err := proto.MarshalOptions{Deterministic: true}.Marshal(s.Encode())
-	if err != nil {
-		return 0
-	}
-	return xxhash.Sum64(bytes)
-}
-
 // DecodeState reads a state message and checks its references.
 func DecodeState(m *schema.State) (*State, error) {
 	s := NewState()
@@ -189,6 +188,7 @@
 // WithRollout returns the state with one more rollout, in the place of one with the same name.
 func (s *State) WithRollout(r *schema.Rollout) *State {
 	next := *s
+	next.summed = false
 	next.Rollouts = maps.Clone(s.Rollouts)
 	next.Rollouts[r.Name] = r
 	return &next
