--- /dev/null
+++ b/internal/controller/fakelog_test.go
@@ -0,0 +1,147 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarackpitch/tamarackpitch/pkg/reducer"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+// fakeStore is a log in memory whose records are whole states.
+type fakeStore struct {
+	mu      sync.Mutex
+	records []*schema.LogRecord
+	seeds   map[string]*schema.Member
+	// reads and writes count the calls.
+	reads, writes int
+}
+
+func (s *fakeStore) publish(state *schema.State) (position uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body, err := proto.Marshal(state)
+	if err != nil {
+		panic(err)
+	}
+	s.records = append(s.records, &schema.LogRecord{Offset: uint64(len(s.records)), Body: body})
+	return uint64(len(s.records))
+}
+
+func (s *fakeStore) from(position uint64) LogPage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return LogPage{Records: s.records[min(position, uint64(len(s.records))):], Next: uint64(len(s.records))}
+}
+
+func (s *fakeStore) count(reads, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads += reads
+	s.writes += writes
+}
+
+// reduceWhole puts the state of a record in force.
+func reduceWhole(s *reducer.State, r *schema.LogRecord) (*reducer.State, error) {
+	m := &schema.State{}
+	if err := proto.Unmarshal(r.Body, m); err != nil {
+		return s.WithPosition(r.Offset + 1), err
+	}
+	m.Position, m.Version = r.Offset+1, r.Offset+1
+	return reducer.DecodeState(m)
+}
+
+// fakeLog is one node's way to the store.
+type fakeLog struct {
+	store *fakeStore
+	cut   atomic.Bool
+}
+
+var errCut = errors.New("the store does not answer")
+
+// silence is how long a call to a store that does not answer takes.
+const silence = 300 * time.Millisecond
+
+func (l *fakeLog) call(reads, writes int) error {
+	l.store.count(reads, writes)
+	if l.cut.Load() {
+		time.Sleep(silence)
+		return errCut
+	}
+	return nil
+}
+
+func (l *fakeLog) Begin(context.Context) (Beginning, error) {
+	if err := l.call(1, 0); err != nil {
+		return Beginning{}, err
+	}
+	state := reducer.NewState()
+	for _, r := range l.store.from(0).Records {
+		state, _ = reduceWhole(state, r)
+	}
+	return Beginning{State: state.Encode(), Next: state.Position}, nil
+}
+
+func (l *fakeLog) Discover(context.Context) (Discovery, error) {
+	if err := l.call(1, 0); err != nil {
+		return Discovery{}, err
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	var d Discovery
+	for _, m := range l.store.seeds {
+		d.Members = append(d.Members, m)
+	}
+	return d, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, from uint64, wait time.Duration) (LogPage, error) {
+	if err := l.call(1, 0); err != nil {
+		return LogPage{}, err
+	}
+	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil && !l.cut.Load(); time.Sleep(2 * time.Millisecond) {
+		if p := l.store.from(from); len(p.Records) > 0 {
+			return p, nil
+		}
+	}
+	if l.cut.Load() {
+		time.Sleep(silence)
+		return LogPage{}, errCut
+	}
+	return l.store.from(from), ctx.Err()
+}
+
+func (l *fakeLog) Recover(ctx context.Context, _ uint64, _ LogPage) (*schema.State, error) {
+	b, err := l.Begin(ctx)
+	return b.State, err
+}
+
+func (l *fakeLog) Append(context.Context, *schema.Record) error { return l.call(0, 1) }
+
+func (l *fakeLog) SaveSelf(context.Context, *schema.Member) error { return l.call(0, 1) }
+
+func (l *fakeLog) SaveSeed(_ context.Context, m *schema.Member) error {
+	if err := l.call(0, 1); err != nil {
+		return err
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	l.store.seeds[m.Node] = m
+	return nil
+}
+
+func (l *fakeLog) DropSeed(_ context.Context, node string) error {
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	delete(l.store.seeds, node)
+	return nil
+}
+
+func (l *fakeLog) SaveProgress(context.Context, *schema.Rollout, *schema.Progress) error {
+	return l.call(0, 1)
+}
--- a/internal/controller/freshness.go
+++ b/internal/controller/freshness.go
@@ -10,6 +10,9 @@
 	newsStep = 700 * time.Millisecond
 	// freshNews is the age up to which news of the log from a neighbour is as good as a read of one's own.
 	freshNews = 3 * time.Second
+	// hopAllowance is added to the age of news with each hop, so that news that goes around does not grow younger by
+	// the time on the way.
+	hopAllowance = 20 * time.Millisecond
 	// takeOverAfter is the age of the newest news of the log at which the first standby reads it: one wait and
 	// the time in which the news of it passes through the mesh.
 	takeOverAfter = readWait + 400*time.Millisecond
@@ -65,7 +68,7 @@
 
 // decodeReadTime returns the time of the read that a neighbour has told the age of.
 func decodeReadTime(ageMs uint32, now time.Time) time.Time {
-	return now.Add(-time.Duration(ageMs-1) * time.Millisecond)
+	return now.Add(-time.Duration(ageMs-1)*time.Millisecond - hopAllowance)
 }
 
 // standbyDelay returns the age of the news at which the standby with a rank reads the log itself.
