Tell a caller by the status that its call was never sent

Cause: a call whose time ended before anything was sent was answered 504, which promises nothing, so that a caller could not try again. Change: 503 where nothing was sent; 504 stays where the call may have run. TestCallThatWasNeverSentIsToldSo failed before with 504.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -226,8 +226,13 @@
 	if x.runs > 0 || x.operation == operationClaim || x.operation == operationReserve {
 		run = runUnknown
 	}
+	// Where nothing was sent the caller is told so also by the status, and may try again.
+	status := http.StatusServiceUnavailable
+	if run != runNo {
+		status = http.StatusGatewayTimeout
+	}
 	x.dropAttempts()
-	x.refuse(504, "deadline", run)
+	x.refuse(status, "deadline", run)
 }
 
 // abandon is called when the caller's connection has ended.
--- /dev/null
+++ b/internal/forwarder/unreachable_test.go
@@ -0,0 +1,43 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+)
+
+// deafAddress returns an address at which connections are neither taken nor refused: its queue of them is full.
+func deafAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	qt.Assert(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	qt.Assert(t, syscall.Listen(fd, 0), qt.IsNil)
+	name, err := syscall.Getsockname(fd)
+	qt.Assert(t, err, qt.IsNil)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 2 {
+		if c, err := net.DialTimeout("tcp", address, 50*time.Millisecond); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}
+	return address
+}
+
+// TestCallThatWasNeverSentIsToldSo lets the time of a payment end while no connection comes about: the status tells
+// that it has not run, so that the caller may send it again.
+func TestCallThatWasNeverSentIsToldSo(t *testing.T) {
+	entry := newNode(t, "entry")
+	entry.publish(viewConfig{endpoints: []*balancer.Endpoint{endpoint("peer", "v1", deafAddress(t))}, timeoutMs: 150})
+	r := do("POST", entry.url("/post"), "pay")
+	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, r.run, qt.Equals, "no")
+}
