End the connection of an upstream that sends interim answers without end

Cause: every answer below 200 was passed over, so that an upstream could send them until the call's deadline, at the cost of the node's processor time (TestEndlessBytesAreNoAnswer, 64 MB written; noise, endless heads and chunk lengths were bounded already). Change: 32 at once and one more each 50 ms, more than the signs of life between nodes. Besides: one test of a service's endpoints for two callers, the condition of the retry budget stated once.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -29,6 +29,12 @@
 	kindReserve
 )
 
+const (
+	// maxInterims bounds the interim answers that come at once, and interimPause is the time in which one more may come.
+	maxInterims  = 32
+	interimPause = 50 * time.Millisecond
+)
+
 // attempt is one try at an upstream or node.
 type attempt struct {
 	exchange *exchange
@@ -49,9 +55,11 @@
 	takenBack bool
 	// requestSent tells that the whole request has been written.
 	requestSent bool
-	headSeen    bool
-	answer      *message
-	latency     time.Duration
+	// interims counts the interim answers.
+	interims int
+	headSeen bool
+	answer   *message
+	latency  time.Duration
 	// heardAt is when the request was sent or the node last gave a sign of life.
 	heardAt time.Time
 	// swallowed is an answer that is read but not forwarded.
@@ -168,10 +176,16 @@
 	}
 }
 
-func (a *attempt) interim(m *message) {
+func (a *attempt) interim(m *message) error {
+	now := time.Now()
 	if m.status == 102 {
-		a.heardAt = time.Now()
+		a.heardAt = now
+	}
+	a.interims++
+	if a.interims > maxInterims+int(now.Sub(a.began)/interimPause) {
+		return &Error{Operation: "read", Kind: KindMalformed, Detail: "interim answers without end"}
 	}
+	return nil
 }
 
 // takeHint notes the load that a node tells with its answers.
--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -29,9 +29,8 @@
 		return &Error{Operation: "read", Kind: KindMalformed, Detail: "unrequested protocol change"}
 	}
 	if m.status < 200 {
-		c.attempt.interim(m)
 		c.answer = nil
-		return nil
+		return c.attempt.interim(m)
 	}
 	if c.attempt.isForeign(m) {
 		return c.skip(m)
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
@@ -58,9 +57,8 @@
 
 // hasOwnZone tells whether an upstream of the own zone may take the call.
 func (x *exchange) hasOwnZone() bool {
-	s := x.view.Services[x.service]
 	own := func(e *balancer.Endpoint) bool { return e.Zone == x.forwarder.common.Settings.Zone }
-	return s != nil && (slices.ContainsFunc(s.Endpoints, own) || slices.ContainsFunc(s.Trial, own))
+	return x.view.Services[x.service].HasEndpoint(own)
 }
 
 // choose returns an endpoint that has not been tried yet, or nil.
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"slices"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
@@ -38,21 +37,23 @@
 
 // hasAlternative tells whether another upstream can take the call if the present attempt is given up.
 func (x *exchange) hasAlternative() bool {
-	service := x.view.Services[x.service]
-	if service == nil || !x.mayTryAgain() || x.arrivals > x.paidArrivals && !x.forwarder.budget(x.service, x.route.Class).Holds() {
+	if !x.mayTryAgain() || x.owesBudget() && !x.forwarder.budget(x.service, x.route.Class).Holds() {
 		return false
 	}
 	untried := func(e *balancer.Endpoint) bool { return !x.tried[e.Node] }
-	return slices.ContainsFunc(service.Endpoints, untried) || slices.ContainsFunc(service.Trial, untried)
+	return x.view.Services[x.service].HasEndpoint(untried)
 }
 
+// owesBudget tells whether another try draws on the retry budget: an upstream has seen the call that it was not drawn on for.
+func (x *exchange) owesBudget() bool { return x.arrivals > x.paidArrivals }
+
 // mayRetry tells whether another node may be tried. It draws on the budget once for each upstream that has
 // seen the call, however many nodes are asked after it.
 func (x *exchange) mayRetry() bool {
 	if !x.mayTryAgain() {
 		return false
 	}
-	if x.arrivals <= x.paidArrivals {
+	if !x.owesBudget() {
 		return true
 	}
 	if !x.forwarder.budget(x.service, x.route.Class).Spend() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -35,6 +36,11 @@
 	Owners []*balancer.Endpoint
 }
 
+// HasEndpoint tells whether an endpoint that takes new work fits. A nil service has none.
+func (s *Service) HasEndpoint(fits func(*balancer.Endpoint) bool) bool {
+	return s != nil && (slices.ContainsFunc(s.Endpoints, fits) || slices.ContainsFunc(s.Trial, fits))
+}
+
 // Local is the upstream beside this node.
 type Local struct {
 	Service     string
