Let short answers pass long ones on a thin network link

TestShortAnswersPassLongOnes replays eight downloads and a lookup over a link of 8 Mbit/s; with the bandwidth unknown the lookup takes more than twice as long.

--- a/internal/admitter/link.go
+++ b/internal/admitter/link.go
@@ -30,6 +30,9 @@
 	return max(l.backlog-now.Sub(l.at).Seconds()*l.BytesPerSecond, 0)
 }
 
+// Ahead returns the time that the link still needs for what was handed to it.
+func (l *Link) Ahead(now time.Time) time.Duration { return l.Transfer(l.backlogAt(now)) }
+
 // Promise notes an answer that will come; Settle takes it back once it has, or will not come.
 func (l *Link) Promise(bytes float64) { l.promised += bytes }
 
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -42,6 +42,7 @@
 	}
 	x.writeFraming(&b, m)
 	x.write(b.Bytes())
+	x.paced = x.forwarder.link.BytesPerSecond > 0 && m.length >= longAnswerBytes
 }
 
 // captured returns the head that is kept. An upstream's copies of this system's own lines are left out.
--- /dev/null
+++ b/internal/forwarder/egress_test.go
@@ -0,0 +1,136 @@
+package forwarder_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+)
+
+const (
+	thinMbps       = 8
+	thinAnswer     = 90 << 10
+	thinCalls      = 8
+	bytesPerSecond = thinMbps * 1e6 / 8
+)
+
+// thinLink relays connections to an address. What comes back passes one link of thinMbps, in the order in which it came.
+type thinLink struct {
+	target string
+	pieces chan thinPiece
+}
+
+type thinPiece struct {
+	to   net.Conn
+	data []byte
+}
+
+func newThinLink(t *testing.T, target string) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	link := &thinLink{target: target, pieces: make(chan thinPiece, 1<<16)}
+	go link.carry()
+	go link.accept(l)
+	return l.Addr().String()
+}
+
+func (l *thinLink) accept(listener net.Listener) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		u, err := net.Dial("tcp", l.target)
+		if err != nil {
+			_ = c.Close()
+			continue
+		}
+		go func() { _, _ = io.Copy(u, c); _ = u.Close() }()
+		go l.read(u, c)
+	}
+}
+
+func (l *thinLink) read(from, to net.Conn) {
+	for {
+		b := make([]byte, 1400)
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		l.pieces <- thinPiece{to: to, data: b[:n]}
+	}
+}
+
+// carry hands on the pieces at the link's pace.
+func (l *thinLink) carry() {
+	free := time.Now()
+	for p := range l.pieces {
+		if now := time.Now(); free.Before(now) {
+			free = now
+		}
+		free = free.Add(time.Duration(float64(len(p.data)) / bytesPerSecond * float64(time.Second)))
+		time.Sleep(time.Until(free))
+		_, _ = p.to.Write(p.data)
+	}
+}
+
+// TestShortAnswersPassLongOnes replays lookups on a VM with a thin link that several downloads of 90 KB use at once. With the
+// link's bandwidth unknown the lookup waits behind all of them.
+func TestShortAnswersPassLongOnes(t *testing.T) {
+	tests := []struct {
+		name string
+		mbps float64
+		most time.Duration
+	}{
+		{"known bandwidth", thinMbps, 200 * time.Millisecond},
+		{"unknown", 0, 5 * time.Second},
+	}
+	took := map[string]time.Duration{}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			entry := newNode(t, "entry")
+			beside := newLinkedNode(t, "beside", test.mbps)
+			u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasPrefix(r.URL.Path, "/get/long") {
+					w.Header().Set("Content-Length", "92160")
+					_, _ = io.WriteString(w, strings.Repeat("x", thinAnswer))
+					return
+				}
+				_, _ = io.WriteString(w, "short")
+			})
+			_, peers := beside.Addresses()
+			endpoints := []*balancer.Endpoint{endpoint("beside", "v1", newThinLink(t, peers))}
+			endpoints[0].Slots = 2 * thinCalls
+			local := u.local("v1")
+			local.Slots = 2 * thinCalls
+			entry.publish(viewConfig{endpoints: endpoints})
+			beside.publish(viewConfig{endpoints: endpoints, local: local})
+			var calls sync.WaitGroup
+			for range thinCalls {
+				calls.Go(func() {
+					r := do("GET", entry.url("/get/long"), "")
+					if len(r.body) != thinAnswer {
+						t.Errorf("status %d with %d bytes", r.status, len(r.body))
+					}
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+			began := time.Now()
+			r := do("GET", entry.url("/high/short"), "")
+			took[test.name] = time.Since(began)
+			qt.Assert(t, r.body, qt.Equals, "short")
+			qt.Assert(t, took[test.name] < test.most, qt.IsTrue, qt.Commentf("took %v", took[test.name]))
+			calls.Wait()
+		})
+	}
+	qt.Assert(t, took["unknown"] > 2*took["known bandwidth"], qt.IsTrue, qt.Commentf("%v", took))
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -62,8 +62,13 @@
 	// closeAfter tells that the caller's connection ends with the answer.
 	closeAfter bool
 	lastByte   time.Time
-	// output is what has been written of the answer before its turn; it is empty from its turn on.
+	// output is what has been written of the answer and waits for its turn, or for the link if the answer is paced.
 	output []byte
+	// paced tells that the answer is long and goes out as the link takes it.
+	paced bool
+	// inEgress tells that the call is among those that wait for the link, with egressBytes of its output.
+	inEgress    bool
+	egressBytes int
 	// cutAtTurn tells that the answer can't be completed: the connection ends when its turn comes.
 	cutAtTurn bool
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -31,6 +31,8 @@
 	defaultQueueLength = 64
 	sweepInterval      = time.Second
 	bytesPerMegabit    = 1e6 / 8
+	// payloadShare is the part of a link's bandwidth that is left beside packet headers and acknowledgements.
+	payloadShare = 0.92
 )
 
 // Config builds a Forwarder.
@@ -68,6 +70,7 @@
 	local    localState
 	admitter admitter.Admitter[*exchange]
 	link     admitter.Link
+	egress   egress
 	calls    map[*exchange]struct{}
 	ids      *ledger
 	keys     *ledger
@@ -111,7 +114,8 @@
 		answerBytes: map[string]float64{},
 		transit:     transitClock{fastest: map[string]time.Duration{}},
 	}
-	f.link.BytesPerSecond = c.Common.Settings.LinkMbps * bytesPerMegabit
+	f.link.BytesPerSecond = c.Common.Settings.LinkMbps * bytesPerMegabit * payloadShare
+	f.egress = egress{forwarder: f, link: &f.link}
 	f.balancer = balancer.Balancer{Zone: c.Common.Settings.Zone, Random: f.random}
 	f.nextID = f.random.Uint64()
 	f.sender = c.Common.Settings.Name + "/" + strconv.FormatUint(f.random.Uint64(), 36)
--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -45,12 +45,23 @@
 }
 
 func newNodeWith(t *testing.T, name string, d forwarder.Dialect) *testNode {
+	t.Helper()
+	return startNode(t, name, d, 0)
+}
+
+// newLinkedNode returns a node that knows the bandwidth of its VM's network link.
+func newLinkedNode(t *testing.T, name string, mbps float64) *testNode {
+	t.Helper()
+	return startNode(t, name, forwarder.OwnDialect(), mbps)
+}
+
+func startNode(t *testing.T, name string, d forwarder.Dialect, mbps float64) *testNode {
 	t.Helper()
 	n := &testNode{name: name, crashes: make(chan []uint64, 16)}
 	n.common = &common.Common{
 		Logger: hclog.NewNullLogger(),
 		Settings: settings.Node{Name: name, Zone: "a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", MaxInFlight: 100,
-			HeaderTimeout: time.Second, BodyIdleTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, SilenceAfter: 200 * time.Millisecond},
+			LinkMbps: mbps, HeaderTimeout: time.Second, BodyIdleTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, SilenceAfter: 200 * time.Millisecond},
 		Checker: checker.New(checker.Config{Logger: hclog.NewNullLogger(), OnViolation: func(i checker.Invariant, detail string) {
 			t.Errorf("node %s: invariant %s violated: %s", name, i, detail)
 		}}),
--- a/internal/forwarder/serverconn.go
+++ b/internal/forwarder/serverconn.go
@@ -80,9 +80,9 @@
 	return nil
 }
 
-// finish goes on to the next request once an answer has been written and its request read.
+// finish goes on to the next request once an answer has been sent and its request read.
 func (s *serverConn) finish(x *exchange) {
-	if len(s.queue) == 0 || s.queue[0] != x || !x.request.complete {
+	if len(s.queue) == 0 || s.queue[0] != x || !x.request.complete || len(x.output) > 0 {
 		return
 	}
 	s.queue = s.queue[1:]
--- a/internal/forwarder/turn.go
+++ b/internal/forwarder/turn.go
@@ -11,18 +11,25 @@
 	return len(queue) > 0 && queue[0] == x
 }
 
-// write sends bytes of the answer, or keeps them until the answers before it have been sent.
+// write sends bytes of the answer, or keeps them until the answers before it have been sent or the link takes them.
 func (x *exchange) write(b []byte) {
-	if x.hasTurn() {
+	turn := x.hasTurn()
+	if turn && !x.paced {
 		x.caller.conn.write(b)
 		return
 	}
 	x.output = append(x.output, b...)
+	if turn {
+		x.forwarder.egress.add(x)
+	}
 }
 
 // outputFull tells that the source of the answer should pause.
 func (x *exchange) outputFull() bool {
-	if x.hasTurn() {
+	switch {
+	case x.paced:
+		return x.forwarder.egress.full(x)
+	case x.hasTurn():
 		return x.caller.conn.full()
 	}
 	return len(x.output) > highWater
@@ -71,16 +78,16 @@
 		s.conn.closeWith(&Error{Operation: "answer", Kind: KindCut, Detail: "upstream's answer was cut"})
 		return
 	}
+	if x.paced && len(x.output) > 0 {
+		s.forwarder.egress.add(x)
+		return
+	}
 	output := x.output
 	x.output = nil
 	if len(output) > 0 && !s.conn.write(output) {
 		return
 	}
-	if x.ended {
-		s.finish(x)
-		return
-	}
-	x.answerDrained()
+	x.outputSent()
 }
 
 // endConnection closes the connection once its output is sent. Calls behind the last answer count as not read.
