Let late downloads take only what is left of a link, and end a leaving node's calls in time

Ruled out: the node's shutdown itself (the connection was kept until 14.6 s of a grace time that ends at 15 s). Change: a late call is let in only where the link's wait is below 0.25 s; output goes out by deadline; a node that leaves asks for answers before its end. TestLateDownloadsTakeWhatIsLeft replays it against the former policy.

--- a/internal/admitter/link.go
+++ b/internal/admitter/link.go
@@ -5,6 +5,9 @@
 // linkSlack is the delay on the link that a call which may not wait accepts.
 const linkSlack = 100 * time.Millisecond
 
+// lateSlack is the delay on the link up to which a late call is let in.
+const lateSlack = 250 * time.Millisecond
+
 // Link tells whether the VM's network link can carry an answer in time. It answers long answers on a thin link: more
 // of them than the link carries would delay every answer, short ones included, long before the slots are full.
 // It is not safe for concurrent use. The zero value carries everything at once.
@@ -53,17 +56,16 @@
 }
 
 // Admits tells whether an answer of some length, after some service time, can be carried: at once for a claim that
-// may not wait, else in time for its aim, or if that is over, for its deadline.
+// may not wait, else in time for its aim. A call that is late already takes only room that is left over, since a long
+// queue of late answers would make all later ones late too.
 func (l *Link) Admits(c Claim, bytes float64, service time.Duration, now time.Time) bool {
 	wait := l.Wait(service, now)
 	if !c.MayWait {
 		return wait <= linkSlack
 	}
 	done := now.Add(service + wait + l.Transfer(bytes))
-	for _, end := range []time.Time{c.Aim, c.Deadline} {
-		if end.After(now) {
-			return !done.After(end)
-		}
+	if c.Aim.After(now) {
+		return !done.After(c.Aim)
 	}
-	return true
+	return wait <= lateSlack && (!c.Deadline.After(now) || !done.After(c.Deadline))
 }
--- a/internal/admitter/link_test.go
+++ b/internal/admitter/link_test.go
@@ -54,6 +54,82 @@
 	qt.Assert(t, wait < 300*time.Millisecond && waitBefore > time.Second, qt.IsTrue, comment)
 }
 
+// lateReplay is what became of downloads on a link.
+type lateReplay struct {
+	inTime, late, refused int
+}
+
+// worth counts a late answer half.
+func (r lateReplay) worth() float64 { return float64(r.inTime) + float64(r.late)/2 }
+
+// replayLate replays downloads a tenth above what the link carries. A refused caller comes back until its deadline.
+func replayLate(admits func(l *admitter.Link, c admitter.Claim, now time.Time) bool) lateReplay {
+	const (
+		bytes    = 90_000
+		service  = 130 * time.Millisecond
+		aim      = time.Second
+		patience = 6 * time.Second
+		comeback = time.Second
+		rate     = 1.1 * 1.25e6 / bytes
+		seconds  = 120
+	)
+	type call struct{ began time.Time }
+	random := rand.New(rand.NewPCG(3, 4))
+	l := &admitter.Link{BytesPerSecond: 1.25e6}
+	start := time.Unix(0, 0)
+	arrivals := map[time.Time][]call{}
+	ends := map[time.Time][]call{}
+	var r lateReplay
+	next := start
+	for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(time.Millisecond) {
+		for ; !next.After(now); next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second))) {
+			arrivals[now] = append(arrivals[now], call{began: now})
+		}
+		for _, c := range ends[now] {
+			l.Settle(bytes)
+			done := now.Add(l.Wait(0, now) + l.Transfer(bytes))
+			l.Sent(bytes, now)
+			if done.Sub(c.began) <= aim {
+				r.inTime++
+			} else if done.Sub(c.began) <= patience {
+				r.late++
+			}
+		}
+		for _, c := range arrivals[now] {
+			claim := admitter.Claim{MayWait: true, Aim: c.began.Add(aim), Deadline: c.began.Add(patience)}
+			switch back := now.Add(comeback); {
+			case admits(l, claim, now):
+				l.Promise(bytes)
+				ends[now.Add(service)] = append(ends[now.Add(service)], c)
+			case back.Before(claim.Deadline):
+				arrivals[back] = append(arrivals[back], c)
+			default:
+				r.refused++
+			}
+		}
+		delete(arrivals, now)
+		delete(ends, now)
+	}
+	return r
+}
+
+// TestLateDownloadsTakeWhatIsLeft replays a link that is a little short, with callers that come back: late ones are let
+// in only where they make no one wait. Before, each was let in that could be done by its deadline, and most were late.
+func TestLateDownloadsTakeWhatIsLeft(t *testing.T) {
+	const bytes, service = 90_000, 130 * time.Millisecond
+	now := replayLate(func(l *admitter.Link, c admitter.Claim, now time.Time) bool { return l.Admits(c, bytes, service, now) })
+	before := replayLate(func(l *admitter.Link, c admitter.Claim, now time.Time) bool {
+		done := now.Add(service + l.Wait(service, now) + l.Transfer(bytes))
+		if c.Aim.After(now) {
+			return !done.After(c.Aim)
+		}
+		return !done.After(c.Deadline)
+	})
+	comment := qt.Commentf("now %+v, before %+v", now, before)
+	qt.Assert(t, now.inTime > 2*before.inTime, qt.IsTrue, comment)
+	qt.Assert(t, now.worth() > 1.2*before.worth(), qt.IsTrue, comment)
+}
+
 // TestLinkWithoutLimit carries everything.
 func TestLinkWithoutLimit(t *testing.T) {
 	var l admitter.Link
--- a/internal/forwarder/egress.go
+++ b/internal/forwarder/egress.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/admitter"
@@ -23,7 +24,7 @@
 type egress struct {
 	forwarder *Forwarder
 	link      *admitter.Link
-	// waiting holds calls with output to send, first come first served. Each is there once.
+	// waiting holds calls with output to send, each once, that with the earliest deadline first.
 	waiting []*exchange
 	// bytes is the output of all that wait.
 	bytes int
@@ -40,7 +41,13 @@
 	e.link.Promise(float64(grown))
 	if !x.inEgress {
 		x.inEgress = true
-		e.waiting = append(e.waiting, x)
+		at, _ := slices.BinarySearchFunc(e.waiting, x, func(a, b *exchange) int {
+			if a.deadline.After(b.deadline) {
+				return 1
+			}
+			return -1
+		})
+		e.waiting = slices.Insert(e.waiting, at, x)
 	}
 	e.pump(time.Now())
 }
@@ -91,12 +98,11 @@
 	e.link.Settle(float64(n))
 }
 
-// leave takes the first call out.
+// leave takes out the call that is first.
 func (e *egress) leave(x *exchange) {
 	e.settle(x, x.egressBytes)
 	x.inEgress = false
-	e.waiting[0] = nil
-	e.waiting = e.waiting[1:]
+	e.waiting = slices.Delete(e.waiting, 0, 1)
 	if x.caller.gone() {
 		x.output = nil
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,7 +30,9 @@
 	// defaultQueueLength serves where the preset gives none.
 	defaultQueueLength = 64
 	sweepInterval      = time.Second
-	bytesPerMegabit    = 1e6 / 8
+	// leaveMargin is the time between the last answers of a node that leaves and its end.
+	leaveMargin     = 200 * time.Millisecond
+	bytesPerMegabit = 1e6 / 8
 	// payloadShare is the part of a link's bandwidth that is left beside packet headers and acknowledgements.
 	payloadShare = 0.92
 )
@@ -86,6 +88,8 @@
 	// sender names this process to other nodes.
 	sender   string
 	draining bool
+	// leaveBy is when calls have to be answered since this node leaves; zero if it stays.
+	leaveBy time.Time
 	// starvedAt is when a call that entered here was last turned away.
 	starvedAt time.Time
 }
@@ -191,6 +195,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.updateLocal(view)
+	if view.Leaving && f.leaveBy.IsZero() {
+		s := f.common.Settings
+		f.leaveBy = time.Now().Add(s.LeaveDelay + s.DrainTimeout - leaveMargin)
+	}
 	for _, b := range f.budgets {
 		b.Resize(view.Members)
 	}
--- a/internal/forwarder/start.go
+++ b/internal/forwarder/start.go
@@ -68,6 +68,10 @@
 	x.setDeadline(x.callerDeadline())
 	x.rank = x.view.Rank(x.route.Class)
 	x.aimAt = x.callerAim()
+	if end := f.leaveBy; !end.IsZero() && end.Before(x.deadline) {
+		// What can't be answered before this node ends is told so now, where it may still go elsewhere.
+		x.setDeadline(end)
+	}
 	x.startRouted()
 }
 
