--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -101,6 +101,7 @@
 	refused   map[uint64]bool
 	timeoutMs uint32
 	limits    *schema.Limits
+	leaving   bool
 }
 
 func (n *testNode) publish(c viewConfig) {
@@ -123,7 +124,7 @@
 			service.Endpoints = append(service.Endpoints, &own)
 		}
 	}
-	view := &router.Snapshot{Ready: true, Configured: true, Node: n.name, Local: c.local, Refused: c.refused, Limits: c.limits,
+	view := &router.Snapshot{Ready: true, Configured: true, Node: n.name, Local: c.local, Refused: c.refused, Limits: c.limits, Leaving: c.leaving,
 		Services: map[string]*router.Service{"s": service}}
 	n.Publish(view.WithPreset(c.preset).WithRoutes([]*schema.Route{
 		{Name: "get", Service: "s", PathPrefix: "/get", Methods: []string{"GET", "HEAD"}, Idempotent: true, Class: "low", TimeoutMs: c.timeoutMs},
