--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -42,13 +42,14 @@
 	case a.kind == kindReserve:
 		x.dropAttempts()
 		x.reserve()
-	case x.idempotent && x.hasAlternative():
+	case x.idempotent && x.hasAlternative() && x.forwarder.leaveBy.IsZero():
 		// The node is frozen or cut off, or the connection is.
 		a.endpoint.Load.NoteFailure(now)
 		x.dropAttempts()
 		x.retryUnknown("node-silent")
 	case x.idempotent:
-		// Its answer may still come, and there is nothing better to wait for.
+		// Its answer may still come. There is nothing better to wait for, or this node leaves: then the call is not taken
+		// from an upstream that may be at work on it.
 	case x.claim == nil && x.claims < maxClaims:
 		x.startClaim(a)
 	}
--- a/internal/standin/capacity/table.go
+++ b/internal/standin/capacity/table.go
@@ -35,11 +35,11 @@
 		{"memory a node, control", memory, t.MemoryMB, "MB", "membership table, view and configuration"},
 		{"calls entering a node", entering, 0, "calls/s", "one poller goroutine"},
 		{"CPU of calls a node", entering * s.CallMicros / 10_000, 0, "% of a core", "one poller goroutine"},
-		{"log reads", readers / 5, 0, "reads/s", "two readers a zone, long polls of 5 s"},
+		{"log reads", readers, 0, "reads/s", "two readers a zone, reads that wait 1 s"},
 		{"log appends, joins", readers / t.JoinRecordPeriod, 300, "appends/s", "join records of the readers only"},
 		{"log appends, changes and outcomes", 2 * changes, 300, "appends/s", "one record a change; one outcome a rollout"},
 		{"checkpoint bytes in the log", changes / 500 * s.CheckpointBytes, 0, "B/s", "one checkpoint in 500 records"},
-		{"lost zone: nodes that come back", t.Nodes / t.Zones, 0, "nodes", "full jitter; snapshots bounded at 4/s a giver"},
+		{"lost zone: nodes that come back", t.Nodes / t.Zones, 0, "nodes", "full jitter; snapshots bounded at 16/s a giver"},
 	}
 }
 
