--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -91,8 +91,8 @@
 	nextRefusalDial time.Time
 	snapshotLimit   *rate.Limiter
 	lastCheckpoint  uint64
-	// beatDue asks for a heartbeat now.
-	beatDue bool
+	// heartbeatDue asks for a heartbeat now.
+	heartbeatDue bool
 	// savedProgress is kept until the node is ready. It is empty from then on.
 	savedProgress []*schema.Progress
 	// joined is closed once the node is ready.
@@ -183,7 +183,7 @@
 			k.tick(time.Now())
 		}
 		k.drainQueues()
-		if k.beatDue {
+		if k.heartbeatDue {
 			k.sendHeartbeats(time.Now())
 		}
 		k.publishView(time.Now())
--- a/internal/controller/joiner.go
+++ b/internal/controller/joiner.go
@@ -98,11 +98,11 @@
 		k.common.Logger.Warn("log not reached", "reason", err)
 		return
 	}
-	k.do(func() { j.members = k.meet(d, time.Now()) })
+	k.do(func() { j.members = k.takeDiscovery(d, time.Now()) })
 }
 
-// meet takes in what the log tells of the mesh. It returns the other members that it names.
-func (k *Controller) meet(d Discovery, now time.Time) []*schema.Member {
+// takeDiscovery takes in what the log tells of the mesh. It returns the other members that it names.
+func (k *Controller) takeDiscovery(d Discovery, now time.Time) []*schema.Member {
 	k.keepProgress(d.Progress)
 	self := k.table.Self()
 	var others []*schema.Member
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -166,7 +166,7 @@
 
 // sendHeartbeats tells neighbours how this node stands, and puts off the next heartbeat.
 func (k *Controller) sendHeartbeats(now time.Time) {
-	k.beatDue = false
+	k.heartbeatDue = false
 	k.nextHeartbeat = now.Add(k.common.Settings.Heartbeat)
 	f := k.frame()
 	f.Heartbeat = k.heartbeat(now)
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -37,7 +37,7 @@
 	if len(fresh) == 0 {
 		return gap
 	}
-	k.noteMoved()
+	k.announcePosition()
 	if k.common.Settings.FloodRecords {
 		f := k.frame()
 		f.Records = fresh
@@ -122,21 +122,21 @@
 	k.setState(next)
 	k.history = history{}
 	k.lastCheckpoint = next.Position
-	k.noteMoved()
+	k.announcePosition()
 	k.checkStart(now)
 }
 
-// noteMoved lets neighbours hear of a new position.
-func (k *Controller) noteMoved() {
+// announcePosition lets neighbours hear of a new position with a heartbeat, unless its records are flooded.
+func (k *Controller) announcePosition() {
 	k.digest = k.state.Digest()
 	k.publishHello()
-	k.beatDue = k.beatDue || !k.common.Settings.FloodRecords
+	k.heartbeatDue = k.heartbeatDue || !k.common.Settings.FloodRecords
 }
 
 // hearOfRead takes in that the log was read and that this node has applied what was there.
 func (k *Controller) hearOfRead(readAt time.Time) {
 	if k.news.hear(readAt) {
-		k.beatDue = true
+		k.heartbeatDue = true
 	}
 	k.checkStart(time.Now())
 }
