--- a/internal/admitter/link.go
+++ b/internal/admitter/link.go
@@ -56,16 +56,20 @@
 }
 
 // Admits tells whether an answer of some length, after some service time, can be carried: at once for a claim that
-// may not wait, else in time for its aim. A call that is late already takes only room that is left over, since a long
-// queue of late answers would make all later ones late too.
+// may not wait, else in time for its aim, or for its deadline if it has no aim. A call that is late already takes only
+// room that is left over, since a long queue of late answers would make all later ones late too.
 func (l *Link) Admits(c Claim, bytes float64, service time.Duration, now time.Time) bool {
 	wait := l.Wait(service, now)
 	if !c.MayWait {
 		return wait <= linkSlack
 	}
 	done := now.Add(service + wait + l.Transfer(bytes))
-	if c.Aim.After(now) {
+	inTime := !c.Deadline.After(now) || !done.After(c.Deadline)
+	switch {
+	case c.Aim.IsZero():
+		return inTime
+	case c.Aim.After(now):
 		return !done.After(c.Aim)
 	}
-	return wait <= lateSlack && (!c.Deadline.After(now) || !done.After(c.Deadline))
+	return inTime && wait <= lateSlack
 }
--- a/internal/admitter/link_test.go
+++ b/internal/admitter/link_test.go
@@ -130,6 +130,31 @@
 	qt.Assert(t, now.worth() > 1.2*before.worth(), qt.IsTrue, comment)
 }
 
+// TestLinkAdmits asks a link on which half a second of bytes stands, for an answer that it needs 0.1 s for.
+func TestLinkAdmits(t *testing.T) {
+	const bytesPerSecond, bytes = 1e6, 1e5
+	now := time.Unix(1000, 0)
+	l := admitter.Link{BytesPerSecond: bytesPerSecond}
+	l.Sent(bytesPerSecond/2, now)
+	in := func(d time.Duration) time.Time { return now.Add(d) }
+	tests := []struct {
+		name   string
+		claim  admitter.Claim
+		admits bool
+	}{
+		{"may not wait", admitter.Claim{Deadline: in(time.Minute)}, false},
+		{"in time for its aim", admitter.Claim{MayWait: true, Aim: in(time.Second), Deadline: in(time.Minute)}, true},
+		{"late for its aim", admitter.Claim{MayWait: true, Aim: in(time.Second / 2), Deadline: in(time.Minute)}, false},
+		{"late already", admitter.Claim{MayWait: true, Aim: in(-time.Second), Deadline: in(time.Minute)}, false},
+		{"without an aim", admitter.Claim{MayWait: true, Deadline: in(time.Minute)}, true},
+		{"without an aim, too long", admitter.Claim{MayWait: true, Deadline: in(time.Second / 2)}, false},
+		{"without any end", admitter.Claim{MayWait: true}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { qt.Assert(t, l.Admits(test.claim, bytes, 0, now), qt.Equals, test.admits) })
+	}
+}
+
 // TestLinkWithoutLimit carries everything.
 func TestLinkWithoutLimit(t *testing.T) {
 	var l admitter.Link
