Suspect an upstream by the service time of the call's kind

Change: twelve times the mean of the call's own kind. TestSlowKindIsNotSentAgain failed before: the upstream saw the call twice.

--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -4,8 +4,8 @@
 	"time"
 )
 
-// silentServices is how many service times an upstream may take before its connection is suspected. Single
-// calls may take far longer than the mean.
+// silentServices is how many service times of a call's kind an upstream may take before its connection is suspected.
+// Single calls may take far longer than the mean.
 const silentServices = 12
 
 // progressPart of the silence that is suspicious passes between two signs of life from the node that has a call.
@@ -59,7 +59,7 @@
 // once the upstream has answered other calls since.
 func (x *exchange) checkUpstreamSilence(a *attempt, now time.Time) {
 	f := x.forwarder
-	silence := max(f.common.Settings.SilenceAfter, silentServices*f.admitter.ServiceTime())
+	silence := max(f.common.Settings.SilenceAfter, silentServices*f.admitter.ServiceTimeOf(x.route.Name))
 	if now.Sub(a.began) < silence {
 		return
 	}
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,3 +47,36 @@
 	qt.Assert(t, r.body, qt.Equals, "late", qt.Commentf("%+v", r))
 	qt.Assert(t, u.runs.Load(), qt.Equals, int64(0))
 }
+
+// TestSlowKindIsNotSentAgain runs a call of a kind that takes long beside many short ones, which answer meanwhile: its
+// upstream is not suspected for what is usual for its kind, and sees it once.
+func TestSlowKindIsNotSentAgain(t *testing.T) {
+	const work = 300 * time.Millisecond
+	var runs atomic.Int32
+	beside := newNode(t, "beside")
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/get/long" {
+			runs.Add(1)
+			time.Sleep(work)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	beside.publish(viewConfig{endpoints: beside.endpoints("v1"), local: u.local("v1")})
+	for range 30 {
+		qt.Assert(t, do("GET", beside.url("/high/short"), "").body, qt.Equals, "/high/short")
+	}
+	for i := range int32(2) {
+		answered := make(chan reply)
+		go func() { answered <- do("GET", beside.url("/get/long"), "") }()
+		for range 10 {
+			time.Sleep(work / 10)
+			do("GET", beside.url("/high/short"), "")
+		}
+		qt.Assert(t, (<-answered).body, qt.Equals, "/get/long")
+		if i == 0 {
+			// The first call of a kind can't be told from a lost one.
+			runs.Store(0)
+		}
+	}
+	qt.Assert(t, runs.Load(), qt.Equals, int32(1))
+}
