Drop the seed of a member that is gone once, and say things once

Found by reading the whole change. Cause: the log names a gone member also by the record that it kept of itself; each look for seeds, every ten seconds, dropped a seed that was not there, one write a member, for as long as the member was remembered. Change: a discovery tells which members have seeds, and only these are dropped. TestGoneMemberIsDroppedOnce failed before (two writes instead of one); TestSeedIsDropped holds the store's side. Besides, without change of behaviour: one way to ask a neighbour from a position, saved progress merged in one place, isKnown is isAmong, since it is asked of three lists.

--- a/internal/controller/configlog.go
+++ b/internal/controller/configlog.go
@@ -31,6 +31,8 @@
 	// Members are nodes that may be joined, each once. Only the control address is always there. Of the node itself
 	// it is the fact that an earlier process has kept.
 	Members []*schema.Member
+	// Seeds names those of the members that SaveSeed has recorded and DropSeed can drop.
+	Seeds []string
 	// Progress of rollouts, as their controllers have saved it.
 	Progress []*schema.Progress
 }
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -98,8 +97,3 @@
 		Body: &schema.Record_Checkpoint{Checkpoint: &schema.Checkpoint{State: k.state.Encode()}}})
 	k.record("checkpoint-written", map[string]string{"position": strconv.FormatUint(k.state.Position, 10)})
 }
-
-// isKnown tells whether a member that the log names is usable in this node's table.
-func isKnown(usable []*schema.Member, m *schema.Member) bool {
-	return slices.ContainsFunc(usable, func(u *schema.Member) bool { return u.ControlAddress == m.ControlAddress })
-}
--- a/internal/controller/join_test.go
+++ b/internal/controller/join_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
@@ -65,3 +66,34 @@
 	qt.Assert(t, s.reason(5, 4, freshness{}, start), qt.Not(qt.Equals), "")
 	qt.Assert(t, s.reason(5, 4, freshness{readAt: start}, start), qt.Equals, "")
 }
+
+// TestGoneMemberIsDroppedOnce lets the log name two members that are gone, one by a seed and one by the record that it
+// kept of itself: only the seed is dropped, since the other record would be named again each time.
+func TestGoneMemberIsDroppedOnce(t *testing.T) {
+	t.Parallel()
+	store := &fakeStore{seeds: map[string]*schema.Member{}}
+	n := startMeshNode(t, store, "n", "a")
+	var queued int
+	n.do(func() {
+		var d Discovery
+		now := time.Now()
+		for _, name := range []string{"seed", "self"} {
+			m := &schema.Member{Node: name, Incarnation: 1, ControlAddress: "127.0.0.1:" + name}
+			n.table.Merge(m, now)
+			left := proto.CloneOf(m)
+			left.Status = schema.MemberStatus_MEMBER_STATUS_LEFT
+			n.table.Merge(left, now)
+			d.Members = append(d.Members, m)
+		}
+		d.Members = append(d.Members, n.table.Self())
+		d.Seeds = []string{"seed"}
+		n.appender.cancel()
+		<-n.appender.done
+		for len(n.appender.jobs) > 0 {
+			<-n.appender.jobs
+		}
+		n.renewSeeds(d, n.table.Usable())
+		queued = len(n.appender.jobs)
+	})
+	qt.Assert(t, queued, qt.Equals, 1)
+}
--- a/internal/controller/joiner.go
+++ b/internal/controller/joiner.go
@@ -115,7 +115,7 @@
 			others = append(others, m)
 		}
 	}
-	if len(others) < seeds && !isKnown(d.Members, self) {
+	if len(others) < seeds && !isAmong(d.Members, self) {
 		k.saveSeed(self)
 	}
 	k.findNeighbours(others, now)
--- a/internal/controller/puller.go
+++ b/internal/controller/puller.go
@@ -60,8 +60,13 @@
 // pull asks a neighbour for what this node lacks.
 func (k *Controller) pull(l *gossiper.Link, now time.Time) {
 	k.pulling = pullState{link: l, at: now}
+	k.sendPull(l, k.state.Position)
+}
+
+// sendPull asks a neighbour for what a node at a position lacks.
+func (k *Controller) sendPull(l *gossiper.Link, position uint64) {
 	f := k.frame()
-	f.Pull = &schema.Pull{Position: k.state.Position}
+	f.Pull = &schema.Pull{Position: position}
 	l.Send(f)
 }
 
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -107,9 +107,7 @@
 		k.common.Logger.Warn("delta refused", "neighbour", k.links[l].node, "position", k.state.Position, "reason", err)
 		k.record("delta-refused", map[string]string{"reason": err.Error()})
 		// The neighbour knows no state before position 0, and answers with its whole one.
-		f := k.frame()
-		f.Pull = &schema.Pull{}
-		l.Send(f)
+		k.sendPull(l, 0)
 		return
 	}
 	k.adopt(next, now)
--- a/internal/controller/rejoiner.go
+++ b/internal/controller/rejoiner.go
@@ -36,22 +36,22 @@
 	}
 	k.do(func() {
 		usable := k.table.Usable()
-		unknown := slices.DeleteFunc(slices.Clone(d.Members), func(m *schema.Member) bool { return isKnown(usable, m) })
+		unknown := slices.DeleteFunc(slices.Clone(d.Members), func(m *schema.Member) bool { return isAmong(usable, m) })
 		k.dialSome(unknown, time.Now())
-		k.renewSeeds(d.Members, usable)
+		k.renewSeeds(d, usable)
 	})
 }
 
 // renewSeeds writes records of further members if the log names too few usable ones, and drops those of members that
 // are gone.
-func (k *Controller) renewSeeds(named, usable []*schema.Member) {
+func (k *Controller) renewSeeds(d Discovery, usable []*schema.Member) {
 	var live []*schema.Member
-	for _, m := range named {
+	for _, m := range d.Members {
 		known := k.table.Get(m.Node)
 		switch {
-		case isKnown(usable, m):
+		case isAmong(usable, m):
 			live = append(live, m)
-		case known != nil && !isUsable(known):
+		case known != nil && !isUsable(known) && slices.Contains(d.Seeds, m.Node):
 			k.dropSeed(m)
 		}
 	}
@@ -59,7 +59,7 @@
 		if len(live) >= seeds {
 			return
 		}
-		if m := usable[i]; !isKnown(live, m) {
+		if m := usable[i]; !isAmong(live, m) {
 			k.saveSeed(m)
 			live = append(live, m)
 		}
@@ -77,3 +77,8 @@
 	log := k.config.Log
 	k.appender.queue(appendJob{what: "seed", write: func(ctx context.Context) error { return log.DropSeed(ctx, m.Node) }})
 }
+
+// isAmong tells whether members hold one with the control address of another.
+func isAmong(members []*schema.Member, m *schema.Member) bool {
+	return slices.ContainsFunc(members, func(other *schema.Member) bool { return other.ControlAddress == m.ControlAddress })
+}
--- a/internal/controller/start.go
+++ b/internal/controller/start.go
@@ -72,9 +72,7 @@
 	}
 	k.start.ready = true
 	k.view.dirtyAll = true
-	for _, p := range k.savedProgress {
-		k.mergeProgress(p, nil)
-	}
+	k.keepProgress(k.savedProgress)
 	k.savedProgress = nil
 	close(k.joined)
 	k.common.Logger.Info("node ready", "version", k.state.Version, "members", k.table.Len(), "news-age", k.news.String())
