Nodes observe what upstreams state about themselves: rate limit and draining

Cause: the logs and metrics could not tell the hypotheses of the incident apart (docs/incidents/rate-limit.md): nothing read the header by which an upstream states a rate limit, and nothing counted the calls sent to an upstream.

The node beside the upstream logs and records changes of it, exports tamarackpitch.upstream.sent, .refused and .rate_limit, and checks the invariant rate-limit-kept over a sliding window. A response describes the upstream only if it is valid and of the incarnation that the call was addressed to. Nothing is enforced yet.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -31,6 +31,8 @@
 	SingleResponse Invariant = "one-answer"
 	// NoCallToDraining: no call is sent to an upstream that is draining.
 	NoCallToDraining Invariant = "no-work-to-leaving"
+	// RateLimitKept: an upstream that states a rate limit does not get far more calls than that.
+	RateLimitKept Invariant = "rate-limit-kept"
 )
 
 // FatalEnvVar is the name of the environment variable that, if not empty, makes a violation end the process.
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -79,5 +79,6 @@
 		connections = max(connectionLimit, a.Slots)
 	}
 	return &router.Local{Service: a.Service, Version: a.Version, Address: a.Address, Slots: a.Slots,
-		Connections: connections, Draining: drained || l.draining(), WarmAt: l.warmAt, Instance: a.Instance}
+		Connections: connections, Draining: drained || l.draining(), WarmAt: l.warmAt, Instance: a.Instance,
+		StartedUnixMs: a.StartedUnixMs}
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+	"github.com/tamarackpitch/tamarackpitch/internal/router"
 )
 
 // Operations that a node requests of another node, as values of headerOperation.
@@ -52,7 +53,9 @@
 	id uint64
 	// endpoint is the upstream whose node the request goes to, or nil for the local upstream.
 	endpoint *balancer.Endpoint
-	pool     *pool
+	// incarnation is the upstream that the request is addressed to, if that is the local one.
+	incarnation router.Incarnation
+	pool        *pool
 	// conn is nil until the pool has provided a connection.
 	conn *clientConn
 	// fresh requests a new connection.
@@ -224,6 +227,7 @@
 	a.response = m
 	if a.local() {
 		a.responseClass = a.exchange.forwarder.config.Dialect.classify(m, a.exchange.requestID())
+		a.observeCondition(m)
 	}
 	a.latency = time.Since(a.began)
 	if a.endpoint != nil {
--- /dev/null
+++ b/internal/forwarder/condition.go
@@ -0,0 +1,127 @@
+package forwarder
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
+	"github.com/tamarackpitch/tamarackpitch/internal/router"
+)
+
+// UpstreamCondition is what an upstream states in a response about itself, besides the response to the call.
+type UpstreamCondition struct {
+	// Limited reports whether the upstream states a rate limit.
+	Limited bool
+	// RateLimit is the number of calls per second that the upstream accepts from all nodes together. It is not negative,
+	// and 0 if Limited is false.
+	RateLimit float64
+	// Draining means that the upstream's incarnation is about to end and accepts no new calls.
+	Draining bool
+}
+
+// localCondition is the condition that the local upstream last stated.
+type localCondition struct {
+	UpstreamCondition
+	// incarnation is the one that stated it. The condition does not apply to any other.
+	incarnation router.Incarnation
+	// sends counts the calls sent to the upstream since its rate limit was last lowered.
+	sends sendMeter
+	// nextLogAt is when the calls sent under a rate limit are next logged.
+	nextLogAt time.Time
+}
+
+// rateLimitLogInterval is the time between two log lines about the calls sent under a rate limit.
+const rateLimitLogInterval = meterWindow
+
+// describesUpstream reports whether a response of the local upstream's address tells something about the upstream that
+// the call was addressed to, and that upstream is still the local one.
+func (a *attempt) describesUpstream(m *message) bool {
+	l := a.exchange.forwarder.local.upstream
+	return l != nil && l.Incarnation() == a.incarnation && a.responseClass != responseInvalid &&
+		m.status != http.StatusMisdirectedRequest
+}
+
+// observeCondition applies what a response of the local upstream states about it.
+func (a *attempt) observeCondition(m *message) {
+	f := a.exchange.forwarder
+	decode := f.config.Dialect.Condition
+	if decode == nil || !a.describesUpstream(m) {
+		return
+	}
+	l := &f.local.condition
+	last := l.UpstreamCondition
+	if l.incarnation != a.incarnation {
+		last = UpstreamCondition{}
+	}
+	next, err := decode(m.get)
+	if err != nil {
+		a.exchange.logCall(f.callLog.failures, "rate limit of the upstream is invalid", "error", err)
+	}
+	if err != nil || !next.Limited && a.responseClass == responseNotExecuted {
+		// A refusal without a rate limit may come from a part of the upstream that does not know it.
+		next.Limited, next.RateLimit = last.Limited, last.RateLimit
+	}
+	if next == last {
+		return
+	}
+	if next.Limited && (!last.Limited || next.RateLimit < last.RateLimit) {
+		l.sends = sendMeter{}
+	}
+	l.UpstreamCondition, l.incarnation = next, a.incarnation
+	f.recordCondition(last, next)
+}
+
+// recordCondition records a change of the local upstream's condition in the log, the timeline and the metrics.
+func (f *Forwarder) recordCondition(last, next UpstreamCondition) {
+	instance := f.local.condition.incarnation.Instance
+	f.stats.setRateLimit(next.RateLimit)
+	switch {
+	case next.Limited && !last.Limited:
+		f.common.Logger.Info("upstream states a rate limit", "instance", instance, "limit", next.RateLimit)
+		f.recordUpstreamEvent("upstream-rate-limited", map[string]string{
+			"instance": instance, "limit": strconv.FormatFloat(next.RateLimit, 'f', -1, 64)})
+	case !next.Limited && last.Limited:
+		f.common.Logger.Info("upstream states no rate limit any more", "instance", instance)
+		f.recordUpstreamEvent("upstream-rate-limit-ended", map[string]string{"instance": instance})
+	}
+	if next.Draining && !last.Draining {
+		f.common.Logger.Info("upstream states that it is draining", "instance", instance)
+		f.recordUpstreamEvent("upstream-states-draining", map[string]string{"instance": instance})
+	}
+}
+
+func (f *Forwarder) recordUpstreamEvent(name string, fields map[string]string) {
+	f.common.Recorder.Record(recorder.Event{Name: name, Service: f.local.upstream.Service, Fields: fields})
+}
+
+const (
+	// rateLimitTolerance and rateLimitSlack bound the calls that an upstream may get in a meterWindow: the tolerance
+	// times what its rate limit allows, plus the slack.
+	rateLimitTolerance = 1.5
+	rateLimitSlack     = 5
+)
+
+// recordSend counts a call that is sent to the local upstream, and checks that its rate limit is kept.
+func (f *Forwarder) recordSend(now time.Time) {
+	f.stats.Sent.Add(1)
+	l := &f.local.condition
+	l.sends.record(now)
+	if !l.Limited || l.incarnation != f.local.upstream.Incarnation() {
+		return
+	}
+	sent := l.sends.total(now)
+	allowed := rateLimitTolerance*l.RateLimit*meterWindow.Seconds() + rateLimitSlack
+	f.common.Checker.Assert(float64(sent) <= allowed, checker.RateLimitKept,
+		"%d calls in %v to an upstream with a rate limit of %v per second", sent, meterWindow, l.RateLimit)
+	if float64(sent) > allowed {
+		// The count begins anew, so that each excess is reported once.
+		l.sends = sendMeter{}
+	}
+	if !now.Before(l.nextLogAt) {
+		l.nextLogAt = now.Add(rateLimitLogInterval)
+		f.common.Logger.Info("calls sent under a rate limit", "instance", l.incarnation.Instance, "limit", l.RateLimit,
+			"sent", sent, "in", meterWindow, "queued", f.admitter.Queued(), "running", f.admitter.InFlight())
+	}
+}
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -6,7 +6,7 @@
 )
 
 // Dialect holds the names of the headers, and the statuses, in which deployments differ. An empty name means that the
-// deployment has no such header.
+// deployment has no such header. Only TimeLeft and CrashStatus are required.
 type Dialect struct {
 	// RequestID identifies one attempt of a caller. Upstreams echo it, so that a late response to an earlier request on
 	// the same connection is recognised.
@@ -21,6 +21,10 @@
 	NotExecuted string
 	// Seal proves that a successful response comes from the upstream itself.
 	Seal string
+	// Condition decodes what an upstream states about itself in the header of a response. header returns the value of a
+	// field, or an empty string. It returns an error if the rate limit is invalid; the rest of the condition holds even
+	// then. Condition is nil if upstreams state nothing.
+	Condition func(header func(name string) string) (UpstreamCondition, error)
 	// CrashStatus is the status of the response to requests that crash upstreams.
 	CrashStatus int
 	// RetryAfter enables the Retry-After header in refusals.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -44,7 +44,7 @@
 	// ReportCrash is called after the local upstream has crashed, with the fingerprints of the requests that may have
 	// caused it.
 	ReportCrash func([]uint64)
-	// Dialect names the deployment's headers. The zero value stands for OwnDialect.
+	// Dialect names the deployment's headers. Without TimeLeft, it stands for OwnDialect.
 	Dialect Dialect
 	// Service is the service on whose VM this node runs, or empty if it is not known.
 	Service string
@@ -104,7 +104,7 @@
 
 // New listens on the addresses of the settings and starts to serve. Until Publish is called, calls are refused.
 func New(c Config) (*Forwarder, error) {
-	if c.Dialect == (Dialect{}) {
+	if c.Dialect.TimeLeft == "" {
 		c.Dialect = OwnDialect()
 	}
 	f := &Forwarder{
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -19,6 +19,8 @@
 	upstream *router.Local
 	// lastResponseAt is when the upstream last completed a response to any call.
 	lastResponseAt time.Time
+	// condition is what the upstream has stated about itself.
+	condition localCondition
 	// unreachableUntil is when an upstream that could not be connected to may get calls again.
 	unreachableUntil time.Time
 }
@@ -135,7 +137,9 @@
 	f := x.forwarder
 	l := f.local.upstream
 	f.common.Checker.Assert(!l.Draining, checker.NoCallToDraining, "call %x sent to a draining upstream", x.id)
-	a := &attempt{exchange: x, kind: kindCall, fresh: x.freshConn, reservedBytes: f.responseBytes[x.route.Name]}
+	a := &attempt{exchange: x, kind: kindCall, fresh: x.freshConn, reservedBytes: f.responseBytes[x.route.Name],
+		incarnation: l.Incarnation()}
+	f.recordSend(time.Now())
 	f.link.Reserve(a.reservedBytes)
 	x.attempt = a
 	p := f.pool(l.Address, l.Connections)
--- a/internal/forwarder/stats.go
+++ b/internal/forwarder/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 )
@@ -32,6 +33,10 @@
 	Malformed atomic.Uint64
 	// UpstreamRefused counts calls that the local upstream refused without running them.
 	UpstreamRefused atomic.Uint64
+	// Sent counts calls sent to the local upstream, repeated ones included.
+	Sent atomic.Uint64
+	// rateLimit holds the bits of the local upstream's rate limit, a float64.
+	rateLimit atomic.Uint64
 
 	mu sync.Mutex
 	// refusals counts refused calls by reason.
@@ -47,6 +52,12 @@
 	s.refusals[reason]++
 }
 
+// setRateLimit records the rate limit that the local upstream states, in calls per second; 0 if it states none.
+func (s *Stats) setRateLimit(perSecond float64) { s.rateLimit.Store(math.Float64bits(perSecond)) }
+
+// RateLimit returns the rate limit that the local upstream states, in calls per second, or 0 if it states none.
+func (s *Stats) RateLimit() float64 { return math.Float64frombits(s.rateLimit.Load()) }
+
 // Refusals returns the number of refused calls by reason.
 func (s *Stats) Refusals() map[string]uint64 {
 	s.mu.Lock()
--- a/internal/meterer/meterer.go
+++ b/internal/meterer/meterer.go
@@ -76,6 +76,9 @@
 		{"tamarackpitch.calls.cut", "Answers that could not be completed.", s.Cut.Load},
 		{"tamarackpitch.calls.malformed", "Requests that could not be parsed.", s.Malformed.Load},
 		{"tamarackpitch.upstream.crashes", "Crashes of the upstream beside this node.", s.Crashes.Load},
+		{"tamarackpitch.upstream.sent", "Calls sent to the upstream beside this node, repeated ones included.", s.Sent.Load},
+		{"tamarackpitch.upstream.refused", "Calls that the upstream beside this node refused without running them.",
+			s.UpstreamRefused.Load},
 		{"tamarackpitch.control.bytes_sent", "Bytes sent on the overlay, packet headers included.",
 			func() uint64 { sent, _ := meter.Totals(); return sent }},
 		{"tamarackpitch.control.bytes_received", "Bytes received on the overlay, packet headers included.",
@@ -96,11 +99,21 @@
 			return err
 		}
 	}
+	if _, err := meter.Float64ObservableGauge("tamarackpitch.upstream.rate_limit",
+		metric.WithDescription("Calls per second that the upstream beside this node accepts, or 0 if it states no limit."),
+		metric.WithFloat64Callback(m.observeRateLimit)); err != nil {
+		return err
+	}
 	_, err := meter.Int64ObservableCounter("tamarackpitch.calls.refused",
 		metric.WithDescription("Refused calls by reason."), metric.WithInt64Callback(m.observeRefusals))
 	return err
 }
 
+func (m *Meterer) observeRateLimit(_ context.Context, o metric.Float64Observer) error {
+	o.Observe(m.config.Forwarder.Stats().RateLimit())
+	return nil
+}
+
 func (m *Meterer) observeRefusals(_ context.Context, o metric.Int64Observer) error {
 	for reason, count := range m.config.Forwarder.Stats().Refusals() {
 		o.Observe(int64(count), metric.WithAttributes(attribute.String("reason", reason)))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,19 @@
 	WarmAt time.Time
 	// Instance identifies the upstream's incarnation. It is empty if the upstream announced none.
 	Instance string
+	// StartedUnixMs is the incarnation's start by the upstream's own clock, or 0 if the upstream announced none.
+	StartedUnixMs int64
+}
+
+// Incarnation identifies one run of an upstream. An upstream may start again under the same instance name.
+type Incarnation struct {
+	Instance      string
+	StartedUnixMs int64
+}
+
+// Incarnation returns the identity of the upstream's incarnation.
+func (l *Local) Incarnation() Incarnation {
+	return Incarnation{Instance: l.Instance, StartedUnixMs: l.StartedUnixMs}
 }
 
 // Snapshot is the state that calls are routed by. It is never changed after it is published.
