--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+// Incarnation identifies one run of an upstream. An upstream may start again under the same instance name.
+type Incarnation struct {
+	Instance string
+	// StartedUnixMs is when the run began, by the upstream's own clock in Unix milliseconds, or 0 if it is not known.
+	StartedUnixMs int64
+}
+
 // Endpoint is one upstream and the node that runs beside it. It is immutable except for Load.
 type Endpoint struct {
 	Node        string
@@ -15,6 +22,8 @@
 	PeerAddress    string
 	ControlAddress string
 	Slots          uint32
+	// Upstream is the incarnation that the endpoint's node announces; it is the zero value if that is not known.
+	Upstream Incarnation
 	// WarmAt is the end of the upstream's cold start.
 	WarmAt time.Time
 	// Suspect means that a neighbour of the node has missed its heartbeats.
--- a/internal/controller/snapshotcache.go
+++ b/internal/controller/snapshotcache.go
@@ -185,6 +185,7 @@
 		Node: m.Node, Incarnation: m.Incarnation, Process: m.Process, Zone: m.Zone, Service: m.Service, Version: m.Version,
 		PeerAddress: m.PeerAddress, ControlAddress: m.ControlAddress, Slots: m.Slots, WarmAt: time.UnixMilli(m.WarmUnixMs),
 		Suspect: m.Status == schema.MemberStatus_MEMBER_STATUS_SUSPECT, Load: k.snapshotCache.load(m),
+		Upstream: balancer.Incarnation{Instance: m.Instance, StartedUnixMs: m.InstanceUnixMs},
 	}
 }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -7,7 +7,6 @@
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/checker"
-	"github.com/tamarackpitch/tamarackpitch/internal/router"
 )
 
 // Operations that a node requests of another node, as values of headerOperation.
@@ -54,7 +53,7 @@
 	// endpoint is the upstream whose node the request goes to, or nil for the local upstream.
 	endpoint *balancer.Endpoint
 	// incarnation is the upstream that the request is addressed to, if that is the local one.
-	incarnation router.Incarnation
+	incarnation balancer.Incarnation
 	pool        *pool
 	// conn is nil until the pool has provided a connection.
 	conn *clientConn
--- a/internal/forwarder/condition.go
+++ b/internal/forwarder/condition.go
@@ -5,9 +5,9 @@
 	"strconv"
 	"time"
 
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/checker"
 	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
-	"github.com/tamarackpitch/tamarackpitch/internal/router"
 )
 
 // UpstreamCondition is what an upstream states in a response about itself, besides the response to the call.
@@ -25,7 +25,7 @@
 type localCondition struct {
 	UpstreamCondition
 	// incarnation is the one that stated it. The condition does not apply to any other.
-	incarnation router.Incarnation
+	incarnation balancer.Incarnation
 	// sends counts the calls sent to the upstream since its rate limit was last lowered.
 	sends sendMeter
 	// nextLogAt is when the calls sent under a rate limit are next logged.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,15 +59,9 @@
 	StartedUnixMs int64
 }
 
-// Incarnation identifies one run of an upstream. An upstream may start again under the same instance name.
-type Incarnation struct {
-	Instance      string
-	StartedUnixMs int64
-}
-
 // Incarnation returns the identity of the upstream's incarnation.
-func (l *Local) Incarnation() Incarnation {
-	return Incarnation{Instance: l.Instance, StartedUnixMs: l.StartedUnixMs}
+func (l *Local) Incarnation() balancer.Incarnation {
+	return balancer.Incarnation{Instance: l.Instance, StartedUnixMs: l.StartedUnixMs}
 }
 
 // Snapshot is the state that calls are routed by. It is never changed after it is published.
