Keep the rate limits that upstreams state, also across restarts of their nodes

Callers saw nothing.

Cause: admission at the node beside an upstream knew slots and queue only; what an upstream states about itself in its responses was passed through and reached no decision.

Change, in the design: - The admitter grants slots within a rate limit (x/time/rate, half a second's burst), the queue keeps its order, and its estimate of the wait counts the grants to calls ahead and to those that will overtake. Under a limit a call gets no grant that it can't use: it has to start 1.5 mean service times before its deadline. - The node beside the upstream enforces what valid responses of the announced incarnation state; another incarnation starts anew. - It reports limit and delay to entry nodes in its responses. They choose by it, refuse at once what no upstream can take in time (reason rate-limited), and don't let callers return before the first limit allows a call. - Entry nodes remember limits by incarnation and send them with each call; a node that has just started adopts them until its upstream has stated its own. So the knowledge comes with just those calls that are bound by it, without store or gossip.

Ruled out: each node keeping a share of the limit (one process sends to each upstream). Saving limits in the store: it may be away, and calls of nodes that know are what counts.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -39,7 +39,8 @@
 	// targetServiceTimes is how many mean service times before Target an item must have a slot. It is above 1 because
 	// many items take longer than the mean.
 	targetServiceTimes = 1.5
-	// deadlineServiceTimes is how many mean service times before Deadline an item must have a slot.
+	// deadlineServiceTimes is how many mean service times before Deadline an item must have a slot. Under a rate limit it
+	// is targetServiceTimes, since a grant is then lost if the item misses its deadline.
 	deadlineServiceTimes = 0.5
 )
 
@@ -50,9 +51,10 @@
 	queueLength int
 	// inFlight counts the items that hold a slot. It exceeds slots for a while after SetLimits has lowered them.
 	inFlight int
-	// queue holds the waiting items. It is empty while a slot is free, as long as the owner calls Next after Release
-	// and after SetLimits.
+	// queue holds the waiting items. It is empty while a slot is free and the rate limit allows a grant, as long as the
+	// owner calls Next after Release, after SetLimits and once NextGrant has passed.
 	queue queue[T]
+	rate  rateLimit
 	times serviceTimes
 	flows flows
 }
@@ -63,6 +65,28 @@
 	a.queueLength = queueLength
 }
 
+// SetRateLimit limits how many slots are granted per second.
+func (a *Admitter[T]) SetRateLimit(perSecond float64, now time.Time) { a.rate.set(perSecond, now) }
+
+// ClearRateLimit removes the rate limit. The owner then calls Next until it returns false.
+func (a *Admitter[T]) ClearRateLimit() { a.rate.clear() }
+
+// RateAllows reports whether the rate limit allows a grant now.
+func (a *Admitter[T]) RateAllows(now time.Time) bool { return a.rate.available(now) }
+
+// RateDelay returns for how long the rate limit keeps a further item waiting behind those in the queue. It is negative
+// by the accumulated grants that are left, and 0 without a limit.
+func (a *Admitter[T]) RateDelay(now time.Time) time.Duration { return a.rate.wait(a.Queued(), now) }
+
+// NextGrant returns the time until the rate limit allows the first waiting item to get a free slot. It returns false if
+// no item waits, or no slot is free.
+func (a *Admitter[T]) NextGrant(now time.Time) (time.Duration, bool) {
+	if a.Queued() == 0 || a.inFlight >= a.slots {
+		return 0, false
+	}
+	return a.rate.wait(0, now), true
+}
+
 // InFlight returns the number of items that hold a slot.
 func (a *Admitter[T]) InFlight() int { return a.inFlight }
 
@@ -82,8 +106,9 @@
 // make room and returned.
 func (a *Admitter[T]) Enter(item T, r Request, now time.Time) (decision Decision, evicted T, hasEvicted bool) {
 	k := sortKey{rank: r.Rank, serviceTime: a.times.mean(r.Kind)}
-	start := a.startBy(r, &k, now)
-	if a.inFlight < a.slots && a.Queued() == 0 {
+	start, late := startBy(r, k.serviceTime, now, a.deadlineTimes())
+	k.late = late
+	if a.inFlight < a.slots && a.Queued() == 0 && a.rate.take(now) {
 		a.inFlight++
 		a.recordFlow(r, k, now)
 		return Granted, evicted, false
@@ -102,25 +127,43 @@
 	return Queued, evicted, hasEvicted
 }
 
-// startBy returns the latest time at which an item must get its slot, and sets k.late if Target can no longer be met.
-func (a *Admitter[T]) startBy(r Request, k *sortKey, now time.Time) time.Time {
+// StartBy returns the latest time at which an item must get a slot under a rate limit, given its expected service time.
+// It is the zero time if the item has no deadline.
+func StartBy(r Request, service time.Duration, now time.Time) time.Time {
+	start, _ := startBy(r, service, now, targetServiceTimes)
+	return start
+}
+
+// startBy returns the latest time at which an item must get its slot: early enough for Target, or, by a number of
+// service times, for Deadline if Target can no longer be met. It is the zero time if the item has no deadline either.
+func startBy(r Request, service time.Duration, now time.Time, deadlineTimes float64) (start time.Time, late bool) {
 	if !r.Target.IsZero() {
-		start := r.Target.Add(-time.Duration(targetServiceTimes * float64(k.serviceTime)))
+		start = r.Target.Add(-time.Duration(targetServiceTimes * float64(service)))
 		if now.Before(start) {
-			return start
+			return start, false
 		}
-		k.late = true
+		late = true
+	}
+	if r.Deadline.IsZero() {
+		return time.Time{}, late
 	}
-	return a.LatestStart(r)
+	return r.Deadline.Add(-time.Duration(deadlineTimes * float64(service))), late
 }
 
 // LatestStart returns the latest time at which an item must have a slot to be answered before its deadline, or the zero
 // time if it has no deadline.
 func (a *Admitter[T]) LatestStart(r Request) time.Time {
-	if r.Deadline.IsZero() {
-		return time.Time{}
+	r.Target = time.Time{}
+	start, _ := startBy(r, a.times.mean(r.Kind), time.Time{}, a.deadlineTimes())
+	return start
+}
+
+// deadlineTimes returns how many mean service times before its deadline an item must have a slot.
+func (a *Admitter[T]) deadlineTimes() float64 {
+	if a.rate.limited() {
+		return targetServiceTimes
 	}
-	return r.Deadline.Add(-time.Duration(deadlineServiceTimes * float64(a.times.mean(r.Kind))))
+	return deadlineServiceTimes
 }
 
 func (a *Admitter[T]) recordFlow(r Request, k sortKey, now time.Time) {
@@ -128,22 +171,28 @@
 }
 
 // estimateWait estimates how long an item would wait for a slot: until a running item ends, for the queued work ahead
-// of it, and for the work that is expected to arrive meanwhile and overtake it.
+// of it, and for the work that is expected to arrive meanwhile and overtake it; or until the rate limit has granted
+// slots to the items ahead, if that takes longer.
 func (a *Admitter[T]) estimateWait(k sortKey, now time.Time) time.Duration {
-	running := time.Duration(max(a.inFlight-a.slots, 0)+1) * a.times.all.mean
-	share := a.flows.share(a.slots, now, func(key flowKey, rank int) bool {
+	running := time.Duration(max(a.inFlight-a.slots+1, 0)) * a.times.all.mean
+	overtaking := a.flows.sum(now, func(key flowKey, rank int) bool {
 		return sortKey{rank: rank, serviceTime: a.times.mean(key.kind), late: key.late}.before(k)
 	})
-	return time.Duration(float64(running+a.queue.workAhead(k)) / float64(a.slots) / (1 - share))
+	slotWait := float64(running+a.queue.workAhead(k)) / float64(a.slots) / (1 - overtaking.slotShare(a.slots))
+	if !a.rate.limited() {
+		return time.Duration(slotWait)
+	}
+	rateWait := float64(a.rate.wait(a.queue.position(k), now)) / (1 - overtaking.rateShare(a.rate.perSecond()))
+	return time.Duration(max(slotWait, rateWait))
 }
 
 // Release gives a slot back. The owner then calls Next until it returns false.
 func (a *Admitter[T]) Release() { a.inFlight-- }
 
-// Next gives a free slot to the first waiting item and returns it. It returns false if no slot is free or no item
-// waits.
-func (a *Admitter[T]) Next() (item T, ok bool) {
-	if a.inFlight >= a.slots {
+// Next gives a free slot to the first waiting item and returns it. It returns false if no slot is free, no item waits
+// or the rate limit allows no grant yet.
+func (a *Admitter[T]) Next(now time.Time) (item T, ok bool) {
+	if a.inFlight >= a.slots || a.Queued() == 0 || !a.rate.take(now) {
 		return item, false
 	}
 	item, ok = a.queue.popFirst()
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -42,7 +42,7 @@
 			} else if running > 0 {
 				running--
 				a.Release()
-				if next, ok := a.Next(); ok {
+				if next, ok := a.Next(time.Time{}); ok {
 					for _, rank := range waiting {
 						if rank < waiting[next] {
 							t.Fatalf("rank %d got a slot before rank %d", waiting[next], rank)
--- a/internal/admitter/fifo_test.go
+++ b/internal/admitter/fifo_test.go
@@ -28,7 +28,7 @@
 	return false
 }
 
-func (p *fifoPolicy) release(c *call) (next *call, ok bool) {
+func (p *fifoPolicy) release(c *call, _ time.Duration) (next *call, ok bool) {
 	p.meanServiceTime += (c.serviceTime - p.meanServiceTime) / 10
 	p.inFlight--
 	if len(p.queue) == 0 {
--- a/internal/admitter/flows.go
+++ b/internal/admitter/flows.go
@@ -24,13 +24,16 @@
 // flow is the recent rate of admitted work of one key.
 type flow struct {
 	rank int
-	// work is the sum of admitted service times, decayed until updatedAt.
+	// work is the sum of admitted service times, and items their number, both decayed until updatedAt.
 	work      time.Duration
+	items     float64
 	updatedAt time.Time
 }
 
-func (f flow) workAt(now time.Time) time.Duration {
-	return time.Duration(float64(f.work) * math.Exp(-float64(now.Sub(f.updatedAt))/float64(flowTimeConstant)))
+// at returns the flow decayed until now.
+func (f flow) at(now time.Time) flow {
+	remaining := math.Exp(-float64(now.Sub(f.updatedAt)) / float64(flowTimeConstant))
+	return flow{rank: f.rank, work: time.Duration(float64(f.work) * remaining), items: f.items * remaining, updatedAt: now}
 }
 
 // flows estimates how much work will arrive and overtake an item while it waits.
@@ -43,16 +46,29 @@
 	if !known && (f.byKey == nil || len(f.byKey) >= maxFlows) {
 		f.byKey = map[flowKey]flow{}
 	}
-	f.byKey[key] = flow{rank: rank, work: before.workAt(now) + service, updatedAt: now}
+	current := before.at(now)
+	f.byKey[key] = flow{rank: rank, work: current.work + service, items: current.items + 1, updatedAt: now}
 }
 
-// share returns the share of the slots, at most maxFlowShare, that the flows selected by keep are expected to take.
-func (f *flows) share(slots int, now time.Time, keep func(flowKey, int) bool) float64 {
-	var work time.Duration
+// sum returns the work and the items of the flows selected by keep.
+func (f *flows) sum(now time.Time, keep func(flowKey, int) bool) flow {
+	var sum flow
 	for k, fl := range f.byKey {
 		if keep(k, fl.rank) {
-			work += fl.workAt(now)
+			current := fl.at(now)
+			sum.work += current.work
+			sum.items += current.items
 		}
 	}
-	return min(float64(work)/float64(flowTimeConstant)/float64(slots), maxFlowShare)
+	return sum
+}
+
+// slotShare returns the share of the slots, at most maxFlowShare, that a flow is expected to take.
+func (f flow) slotShare(slots int) float64 {
+	return min(float64(f.work)/float64(flowTimeConstant)/float64(slots), maxFlowShare)
+}
+
+// rateShare returns the share of the grants at a rate per second, at most maxFlowShare, that a flow is expected to take.
+func (f flow) rateShare(perSecond float64) float64 {
+	return min(f.items/flowTimeConstant.Seconds()/perSecond, maxFlowShare)
 }
--- a/internal/admitter/overload_test.go
+++ b/internal/admitter/overload_test.go
@@ -41,7 +41,7 @@
 	// enter reports whether the call gets a slot at once. Otherwise it is queued or refused.
 	enter(c *call, now time.Duration) (granted bool)
 	// release returns the slot of a call, and hands it to the next queued one.
-	release(c *call) (next *call, ok bool)
+	release(c *call, now time.Duration) (next *call, ok bool)
 }
 
 // admitterPolicy is the Admitter under test.
@@ -56,10 +56,10 @@
 	return decision == admitter.Granted
 }
 
-func (p *admitterPolicy) release(c *call) (next *call, ok bool) {
+func (p *admitterPolicy) release(c *call, now time.Duration) (next *call, ok bool) {
 	p.RecordServiceTime(strconv.Itoa(c.kind), c.serviceTime)
 	p.Release()
-	return p.Next()
+	return p.Next(time.Unix(0, 0).Add(now))
 }
 
 // replay simulates Poisson arrivals of the kinds at one upstream in virtual time.
@@ -80,7 +80,7 @@
 	}
 	for now := time.Duration(0); now < time.Duration(seconds)*time.Second; now += tick {
 		for _, c := range running[now] {
-			if waiting, ok := p.release(c); ok {
+			if waiting, ok := p.release(c, now); ok {
 				begin(waiting, now)
 			}
 		}
@@ -137,6 +137,6 @@
 	decision, _, _ = a.Enter("in time", request, now)
 	qt.Assert(t, decision, qt.Equals, admitter.Queued)
 	a.Release()
-	next, _ := a.Next()
+	next, _ := a.Next(now)
 	qt.Assert(t, next, qt.Equals, "in time")
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -36,6 +36,9 @@
 	Skip func(*Endpoint) bool
 	// ZoneCost is the cost of a response from another zone, as time added to the expected completion time.
 	ZoneCost time.Duration
+	// RateDelay returns how long an endpoint's rate limit keeps the call waiting; not positive if it does not. It is nil
+	// if no endpoint has a rate limit.
+	RateDelay func(*Endpoint) time.Duration
 }
 
 // Choose returns the endpoint with the lowest cost, or nil if all are skipped. An ejected endpoint is chosen only if no
@@ -62,6 +65,9 @@
 			continue
 		}
 		cost := e.expectedTime(now)
+		if c.RateDelay != nil {
+			cost += max(c.RateDelay(e), 0)
+		}
 		if e.Zone != b.Zone {
 			cost += c.ZoneCost
 		}
--- a/internal/balancer/endpoint.go
+++ b/internal/balancer/endpoint.go
@@ -1,6 +1,11 @@
 package balancer
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Incarnation identifies one run of an upstream. An upstream may start again under the same instance name.
 type Incarnation struct {
@@ -9,6 +14,11 @@
 	StartedUnixMs int64
 }
 
+// Key returns a hash of the incarnation by which nodes refer to it.
+func (i Incarnation) Key() uint64 {
+	return xxhash.Sum64String(i.Instance + "\x00" + strconv.FormatInt(i.StartedUnixMs, 10))
+}
+
 // Endpoint is one upstream and the node that runs beside it. It is immutable except for Load.
 type Endpoint struct {
 	Node        string
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -231,6 +231,7 @@
 	a.latency = time.Since(a.began)
 	if a.endpoint != nil {
 		a.recordLoadReport(m)
+		a.observePeerCondition(m)
 	}
 	a.exchange.onResponseHead(a, m)
 }
--- a/internal/forwarder/attempthead.go
+++ b/internal/forwarder/attempthead.go
@@ -43,20 +43,21 @@
 	}
 }
 
-// writeTimeLeft writes the time left until the deadline, and the fields from which the receiver computes the delay in
-// transit.
-func (a *attempt) writeTimeLeft(b *bytes.Buffer) {
+// writeCommonFields writes the time left until the deadline, the fields from which the receiver computes the delay in
+// transit, and what this node knows about the receiver's upstream.
+func (a *attempt) writeCommonFields(b *bytes.Buffer) {
 	x := a.exchange
 	now := time.Now()
 	writeField(b, headerTimeLeft, strconv.FormatInt(max(x.deadline.Sub(now).Milliseconds(), 0), 10))
 	writeField(b, headerSentAt, strconv.FormatInt(now.Sub(processStart).Milliseconds(), 10))
 	writeField(b, headerSender, x.forwarder.sender)
+	x.forwarder.writePeerCondition(b, a.endpoint.Node)
 }
 
 // writePeerFields writes the header fields that another node needs to serve the call.
 func (a *attempt) writePeerFields(b *bytes.Buffer) {
 	x := a.exchange
-	a.writeTimeLeft(b)
+	a.writeCommonFields(b)
 	writeField(b, headerOperation, a.operation)
 	writeField(b, headerID, strconv.FormatUint(a.id, 16))
 	writeField(b, headerRoute, x.route.Name)
@@ -77,7 +78,7 @@
 	b.WriteString("POST /" + a.operation + " HTTP/1.1\r\nHost: " + a.endpoint.Node + "\r\n")
 	writeField(b, headerOperation, a.operation)
 	writeField(b, headerID, strconv.FormatUint(a.id, 16))
-	a.writeTimeLeft(b)
+	a.writeCommonFields(b)
 	writeField(b, headerService, x.service)
 	if a.kind == kindClaim {
 		writeField(b, headerProcess, strconv.FormatUint(a.endpoint.Process, 16))
--- a/internal/forwarder/condition.go
+++ b/internal/forwarder/condition.go
@@ -21,11 +21,14 @@
 	Draining bool
 }
 
-// localCondition is the condition that the local upstream last stated.
+// localCondition is the condition of the local upstream, as far as this process knows it.
 type localCondition struct {
 	UpstreamCondition
-	// incarnation is the one that stated it. The condition does not apply to any other.
+	// incarnation is the one that the condition applies to. For any other it is the zero value.
 	incarnation balancer.Incarnation
+	// stated reports whether a response to this process has stated the condition. Until then it is what other nodes
+	// remember from before this process started.
+	stated bool
 	// sends counts the calls sent to the upstream since its rate limit was last lowered.
 	sends sendMeter
 	// nextLogAt is when the calls sent under a rate limit are next logged.
@@ -50,11 +53,7 @@
 	if decode == nil || !a.describesUpstream(m) {
 		return
 	}
-	l := &f.local.condition
-	last := l.UpstreamCondition
-	if l.incarnation != a.incarnation {
-		last = UpstreamCondition{}
-	}
+	last := f.local.condition.UpstreamCondition
 	next, err := decode(m.get)
 	if err != nil {
 		a.exchange.logCall(f.callLog.failures, "rate limit of the upstream is invalid", "error", err)
@@ -63,14 +62,39 @@
 		// A refusal without a rate limit may come from a part of the upstream that does not know it.
 		next.Limited, next.RateLimit = last.Limited, last.RateLimit
 	}
+	f.local.condition.stated = true
+	f.setCondition(next, time.Now())
+}
+
+// setCondition replaces the local upstream's condition and enforces it.
+func (f *Forwarder) setCondition(next UpstreamCondition, now time.Time) {
+	l := &f.local.condition
+	last := l.UpstreamCondition
 	if next == last {
 		return
 	}
+	l.UpstreamCondition = next
 	if next.Limited && (!last.Limited || next.RateLimit < last.RateLimit) {
 		l.sends = sendMeter{}
 	}
-	l.UpstreamCondition, l.incarnation = next, a.incarnation
 	f.recordCondition(last, next)
+	if next.Limited {
+		f.admitter.SetRateLimit(next.RateLimit, now)
+	} else {
+		f.admitter.ClearRateLimit()
+	}
+	f.serveQueue()
+}
+
+// resetCondition forgets the condition if it is that of another incarnation than the local upstream's.
+func (f *Forwarder) resetCondition(now time.Time) {
+	l := &f.local.condition
+	if f.local.upstream == nil || f.local.upstream.Incarnation() == l.incarnation {
+		return
+	}
+	l.incarnation = f.local.upstream.Incarnation()
+	l.stated = false
+	f.setCondition(UpstreamCondition{}, now)
 }
 
 // recordCondition records a change of the local upstream's condition in the log, the timeline and the metrics.
@@ -108,7 +132,7 @@
 	f.stats.Sent.Add(1)
 	l := &f.local.condition
 	l.sends.record(now)
-	if !l.Limited || l.incarnation != f.local.upstream.Incarnation() {
+	if !l.Limited {
 		return
 	}
 	sent := l.sends.total(now)
--- a/internal/forwarder/condition_test.go
+++ b/internal/forwarder/condition_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package forwarder_test
 
 import (
@@ -103,8 +101,9 @@
 var callNumber atomic.Int64
 
 // sendGet sends a call with an ID of its own.
-func sendGet(n *testNode) reply {
-	return do("GET", n.url("/get"), "", "X-Id", fmt.Sprintf("call-%d", callNumber.Add(1)))
+func sendGet(n *testNode, headers ...string) reply {
+	headers = append(headers, "X-Id", fmt.Sprintf("call-%d", callNumber.Add(1)))
+	return do("GET", n.url("/get"), "", headers...)
 }
 
 // getAtRate sends calls at a rate for a time and returns their replies.
@@ -112,7 +111,7 @@
 	var wait sync.WaitGroup
 	replies := make([]reply, int(float64(perSecond)*length.Seconds()))
 	for i := range replies {
-		wait.Go(func() { replies[i] = sendGet(n) })
+		wait.Go(func() { replies[i] = sendGet(n, "X-Time-Left", "1000") })
 		time.Sleep(time.Second / time.Duration(perSecond))
 	}
 	wait.Wait()
@@ -137,20 +136,28 @@
 	allowedInWindow = testLimit*4*3/2 + 5
 )
 
-// TestUpstreamGetsMoreThanItsRateLimit sends ten times as many calls as the upstream accepts.
-func TestUpstreamGetsMoreThanItsRateLimit(t *testing.T) {
-	u := newStatingUpstream(t)
+// limitedPair starts an entry node and the node beside an upstream that states testLimit, and waits until both know it.
+func limitedPair(t *testing.T) (entry, sidecar *testNode, u *statingUpstream) {
+	t.Helper()
+	u = newStatingUpstream(t)
 	u.limit.Store(strconv.Itoa(testLimit))
-	entry, sidecar := newNodeWith(t, "entry", statingDialect()), newNodeWith(t, "sidecar", statingDialect())
-	local := u.incarnation(1)
-	endpoints := []*balancer.Endpoint{describe(sidecar.endpoint("v1"), local)}
+	entry, sidecar = newNodeWith(t, "entry", statingDialect()), newNodeWith(t, "sidecar", statingDialect())
+	endpoints := []*balancer.Endpoint{describe(sidecar.endpoint("v1"), u.incarnation(1))}
 	entry.publish(snapshotConfig{endpoints: endpoints})
-	sidecar.publish(snapshotConfig{endpoints: endpoints, local: local})
+	sidecar.publish(snapshotConfig{endpoints: endpoints, local: u.incarnation(1)})
 	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
 	u.forgetArrivals()
-	getAtRate(entry, 10*testLimit, limitWindow+time.Second)
-	most, _ := u.mostIn(limitWindow)
+	return entry, sidecar, u
+}
+
+// TestUpstreamGetsMoreThanItsRateLimit sends ten times as many calls as the upstream accepts.
+func TestUpstreamGetsMoreThanItsRateLimit(t *testing.T) {
+	entry, _, u := limitedPair(t)
+	const length = limitWindow + time.Second
+	getAtRate(entry, 10*testLimit, length)
+	most, all := u.mostIn(limitWindow)
 	qt.Assert(t, most <= allowedInWindow, qt.IsTrue, qt.Commentf("%d calls in %v, %d allowed", most, limitWindow, allowedInWindow))
+	qt.Assert(t, float64(all) > 0.8*testLimit*length.Seconds(), qt.IsTrue, qt.Commentf("only %d calls in %v", all, length))
 }
 
 // TestRateLimitIsLostWithTheNode restarts the node beside a limited upstream several times within one window. The entry
@@ -173,7 +180,7 @@
 		restart()
 		var wait sync.WaitGroup
 		for range 20 {
-			wait.Go(func() { sendGet(entry) })
+			wait.Go(func() { sendGet(entry, "X-Time-Left", "200") })
 		}
 		wait.Wait()
 	}
@@ -181,26 +188,81 @@
 	qt.Assert(t, most <= allowedInWindow, qt.IsTrue, qt.Commentf("%d calls in %v, %d allowed", most, limitWindow, allowedInWindow))
 }
 
-// TestUpstreamThatStatesDrainingGetsCalls sends calls after a response has stated that the upstream is draining, and
-// again after the node beside it has restarted.
-func TestUpstreamThatStatesDrainingGetsCalls(t *testing.T) {
-	u := newStatingUpstream(t)
-	u.draining.Store("1")
-	entry, sidecar := newNodeWith(t, "entry", statingDialect()), newNodeWith(t, "sidecar", statingDialect())
-	local := u.incarnation(1)
-	endpoints := []*balancer.Endpoint{describe(sidecar.endpoint("v1"), local)}
+// TestCallsBeyondRateLimitGoToAnotherUpstream sends more than one of two upstreams accepts.
+func TestCallsBeyondRateLimitGoToAnotherUpstream(t *testing.T) {
+	limited, free := newStatingUpstream(t), newStatingUpstream(t)
+	limited.limit.Store(strconv.Itoa(testLimit))
+	entry := newNodeWith(t, "entry", statingDialect())
+	var endpoints []*balancer.Endpoint
+	for i, u := range []*statingUpstream{limited, free} {
+		n := newNodeWith(t, fmt.Sprintf("sidecar-%d", i), statingDialect())
+		e := describe(n.endpoint("v1"), u.incarnation(1))
+		endpoints = append(endpoints, e)
+		n.publish(snapshotConfig{endpoints: []*balancer.Endpoint{e}, local: u.incarnation(1)})
+	}
 	entry.publish(snapshotConfig{endpoints: endpoints})
-	sidecar.publish(snapshotConfig{endpoints: endpoints, local: local})
-	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
-	for _, n := range []*testNode{entry, sidecar} {
-		r := sendGet(n)
-		qt.Assert(t, r.status, qt.Equals, 503)
-		qt.Assert(t, r.run, qt.Equals, "no")
+	replies := getAtRate(entry, 10*testLimit, 2*time.Second)
+	qt.Assert(t, countStatus(replies, 200), qt.Equals, len(replies))
+}
+
+// TestCallBeyondAllRateLimitsIsHeld: a call that no upstream can take in time is refused at once, as not run, and the
+// caller is told to come back when the rate limit allows a call.
+func TestCallBeyondAllRateLimitsIsHeld(t *testing.T) {
+	entry, _, u := limitedPair(t)
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() { sendGet(entry, "X-Time-Left", "800") })
 	}
+	eventually(t, "the burst is used up", func() bool { _, all := u.mostIn(limitWindow); return all > 0 })
+	before := time.Now()
+	r := sendGet(entry, "X-Time-Left", "100")
+	qt.Assert(t, time.Since(before) < 80*time.Millisecond, qt.IsTrue)
+	qt.Assert(t, r.status, qt.Equals, 503)
+	qt.Assert(t, r.run, qt.Equals, "no")
+	qt.Assert(t, r.refusal, qt.Equals, "rate-limited")
+	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, after > 0.1 && after <= 2, qt.IsTrue, qt.Commentf("Retry-After: %v", after))
+	wait.Wait()
+}
+
+// TestRateLimitOutlivesItsStatement ends and changes the limit: each response replaces it.
+func TestRateLimitOutlivesItsStatement(t *testing.T) {
+	entry, sidecar, u := limitedPair(t)
+	qt.Assert(t, sidecar.Stats().RateLimit(), qt.Equals, float64(testLimit))
+	u.limit.Store("7.5")
+	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
+	qt.Assert(t, sidecar.Stats().RateLimit(), qt.Equals, 7.5)
+	u.limit.Store("")
+	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
+	replies := getAtRate(entry, 10*testLimit, time.Second)
+	qt.Assert(t, countStatus(replies, 200), qt.Equals, len(replies))
+}
+
+// TestRateLimitOutlivesTheUpstream starts the upstream again under the same name: it has stated nothing yet.
+func TestRateLimitOutlivesTheUpstream(t *testing.T) {
+	entry, sidecar, u := limitedPair(t)
+	u.limit.Store("")
+	endpoints := []*balancer.Endpoint{describe(sidecar.endpoint("v1"), u.incarnation(2))}
+	sidecar.publish(snapshotConfig{endpoints: endpoints, local: u.incarnation(2)})
+	entry.publish(snapshotConfig{endpoints: endpoints})
+	qt.Assert(t, sidecar.Stats().RateLimit(), qt.Equals, 0.0)
+	replies := getAtRate(entry, 10*testLimit, time.Second)
+	qt.Assert(t, countStatus(replies, 200), qt.Equals, len(replies))
+}
+
+// TestRateLimitIsForgottenWhileTheNodeStarts sends calls while the restarted node does not know its upstream yet: its
+// refusals must not make the entry node forget the limit.
+func TestRateLimitIsForgottenWhileTheNodeStarts(t *testing.T) {
+	entry, _, u := limitedPair(t)
 	restarted := newNodeWith(t, "sidecar", statingDialect())
-	endpoints = []*balancer.Endpoint{describe(restarted.endpoint("v1"), local)}
-	restarted.publish(snapshotConfig{endpoints: endpoints, local: local})
+	endpoints := []*balancer.Endpoint{describe(restarted.endpoint("v1"), u.incarnation(1))}
+	restarted.publish(snapshotConfig{endpoints: endpoints})
 	entry.publish(snapshotConfig{endpoints: endpoints})
-	qt.Assert(t, sendGet(entry).status, qt.Equals, 503)
-	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+	for range 5 {
+		qt.Assert(t, sendGet(entry, "X-Time-Left", "1000").refusal, qt.Equals, "leaving")
+	}
+	restarted.publish(snapshotConfig{endpoints: endpoints, local: u.incarnation(1)})
+	sendGet(entry, "X-Time-Left", "1000")
+	qt.Assert(t, restarted.Stats().RateLimit(), qt.Equals, float64(testLimit))
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tamarackpitch/tamarackpitch/internal/admitter"
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/router"
 )
@@ -25,7 +26,7 @@
 	x.tries++
 	e := x.choose(service)
 	if e == nil {
-		x.refuseNotRun(cmp.Or(x.lastRefusal, "no-upstream"))
+		x.refuseNotRun(x.reasonWithoutEndpoint(service))
 		return
 	}
 	if x.tried == nil {
@@ -42,6 +43,16 @@
 	x.sendPeer(e, operationCall)
 }
 
+// reasonWithoutEndpoint returns the reason for refusing a call that no endpoint may take.
+func (x *exchange) reasonWithoutEndpoint(s *router.Service) string {
+	now := time.Now()
+	limited := func(e *balancer.Endpoint) bool { return !x.tried[e.Node] && !x.admitsInTime(e, now) }
+	if s.HasEndpoint(limited) {
+		return reasonRateLimited
+	}
+	return cmp.Or(x.lastRefusal, "no-upstream")
+}
+
 // allowQueueAt allows a node that had no free slot to be chosen again, for its queue. Calls do not queue in another
 // zone if their own has upstreams: there they would only displace that zone's own calls.
 func (x *exchange) allowQueueAt(node string) {
@@ -55,18 +66,40 @@
 	delete(x.tried, node)
 }
 
-// hasEndpointInZone reports whether the service has an endpoint in this node's zone.
+// hasEndpointInZone reports whether the service has an endpoint in this node's zone whose rate limit allows the call.
 func (x *exchange) hasEndpointInZone() bool {
-	sameZone := func(e *balancer.Endpoint) bool { return e.Zone == x.forwarder.common.Settings.Zone }
+	now := time.Now()
+	sameZone := func(e *balancer.Endpoint) bool {
+		return e.Zone == x.forwarder.common.Settings.Zone && x.admitsInTime(e, now)
+	}
 	return x.snapshot.Services[x.service].HasEndpoint(sameZone)
 }
 
+// mayTry reports whether an endpoint that the call has not tried may still take it.
+func (x *exchange) mayTry(e *balancer.Endpoint, now time.Time) bool {
+	return !x.tried[e.Node] && x.admitsInTime(e, now)
+}
+
+// admitsInTime reports whether an endpoint's rate limit lets the call start in time, as far as this node knows.
+func (x *exchange) admitsInTime(e *balancer.Endpoint, now time.Time) bool {
+	delay := x.forwarder.rateDelay(e, now)
+	if delay <= 0 {
+		return true
+	}
+	start := admitter.StartBy(x.slotRequest(), e.Load.ServiceTime(now), now)
+	return start.IsZero() || !now.Add(delay).After(start)
+}
+
 // choose returns an endpoint that may be tried, or nil. It falls back from a rollout's new version to the old one,
 // but not the other way round.
 func (x *exchange) choose(s *router.Service) *balancer.Endpoint {
 	f := x.forwarder
 	now := time.Now()
-	call := balancer.Call{Skip: func(e *balancer.Endpoint) bool { return x.tried[e.Node] }, ZoneCost: f.zoneCost(x.route)}
+	call := balancer.Call{
+		Skip:      func(e *balancer.Endpoint) bool { return !x.mayTry(e, now) },
+		ZoneCost:  f.zoneCost(x.route),
+		RateDelay: func(e *balancer.Endpoint) time.Duration { return f.rateDelay(e, now) },
+	}
 	onCanary := f.choosesCanary(s, x.tries)
 	endpoints, others := s.Stable, s.Canary
 	if onCanary {
@@ -112,6 +145,7 @@
 	a := &attempt{exchange: x, kind: kindCall, operation: operation, id: f.newID(), endpoint: e}
 	x.attempt = a
 	e.Load.Begin()
+	f.recordPeerCall(e, time.Now())
 	f.pool(e.PeerAddress, peerConnections).assign(a)
 	if x.attempt == a {
 		x.arm(time.Now())
@@ -295,6 +329,8 @@
 	}
 	if a.local() {
 		x.forwarder.onUpstreamUnreachable()
+	} else {
+		x.forwarder.revertPeerCall(a.endpoint)
 	}
 	x.retryNotRun("connect")
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -78,7 +78,9 @@
 	local    localState
 	admitter admitter.Admitter[*exchange]
 	link     admitter.Link
-	egress   egress
+	// peerConditions holds the conditions of upstreams beside other nodes that limit their use, by node name.
+	peerConditions map[string]*peerCondition
+	egress         egress
 	// calls holds the calls that have started and not ended.
 	calls map[*exchange]struct{}
 	// ids remembers the calls sent here by other nodes, and keys those with an idempotency key.
@@ -108,23 +110,24 @@
 		c.Dialect = OwnDialect()
 	}
 	f := &Forwarder{
-		config:        c,
-		common:        c.Common,
-		stop:          make(chan struct{}),
-		done:          make(chan struct{}),
-		readBuffer:    make([]byte, readBufferBytes),
-		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		serverConns:   map[*serverConn]struct{}{},
-		pools:         map[string]*pool{},
-		calls:         map[*exchange]struct{}{},
-		ids:           newDedupTable(maxTrackedIDs),
-		keys:          newDedupTable(maxTrackedKeys),
-		budgets:       map[budgetKey]*budgeter.Budget{},
-		samplers:      map[string]*sampler{},
-		evidence:      map[evidenceKey]*evidenceCount{},
-		callLog:       newCallLog(),
-		responseBytes: map[string]float64{},
-		transit:       transitEstimator{fastest: map[string]time.Duration{}},
+		config:         c,
+		common:         c.Common,
+		stop:           make(chan struct{}),
+		done:           make(chan struct{}),
+		readBuffer:     make([]byte, readBufferBytes),
+		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		serverConns:    map[*serverConn]struct{}{},
+		pools:          map[string]*pool{},
+		peerConditions: map[string]*peerCondition{},
+		calls:          map[*exchange]struct{}{},
+		ids:            newDedupTable(maxTrackedIDs),
+		keys:           newDedupTable(maxTrackedKeys),
+		budgets:        map[budgetKey]*budgeter.Budget{},
+		samplers:       map[string]*sampler{},
+		evidence:       map[evidenceKey]*evidenceCount{},
+		callLog:        newCallLog(),
+		responseBytes:  map[string]float64{},
+		transit:        transitEstimator{fastest: map[string]time.Duration{}},
 	}
 	f.link.BytesPerSecond = c.Common.Settings.LinkMbps * bytesPerMegabit * payloadShare
 	f.egress = egress{forwarder: f, link: &f.link}
@@ -242,6 +245,7 @@
 	f.ids.sweep(now)
 	f.keys.sweep(now)
 	f.crashes.sweep(now)
+	f.sweepPeerConditions(now)
 }
 
 // newID returns an ID that no other attempt has. IDs are a counter from a random start, with its bytes reversed.
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -21,6 +21,8 @@
 	lastResponseAt time.Time
 	// condition is what the upstream has stated about itself.
 	condition localCondition
+	// rateTimer serves the queue once the rate limit allows the first queued call.
+	rateTimer *time.Timer
 	// unreachableUntil is when an upstream that could not be connected to may get calls again.
 	unreachableUntil time.Time
 }
@@ -32,6 +34,7 @@
 	if queueLength == 0 {
 		queueLength = defaultQueueLength
 	}
+	f.resetCondition(time.Now())
 	if snapshot.LocalUpstream == nil || snapshot.LocalUpstream.Draining {
 		f.admitter.SetLimits(0, queueLength)
 		f.refuseQueued()
@@ -75,7 +78,8 @@
 		x.sendLocal()
 	case admitter.Queued:
 		x.queued = true
-		x.arm(time.Now())
+		x.arm(now)
+		f.armRateTimer(now)
 	case admitter.Refused:
 		x.refuseSlot()
 	}
@@ -84,11 +88,14 @@
 // refuseSlot handles a call that gets no slot: this node retries it elsewhere, or refuses it so that the sending node
 // does.
 func (x *exchange) refuseSlot() {
-	if x.mayQueue {
+	switch {
+	case !x.mayQueue:
+		x.retryNotRun(reasonBusy)
+	case x.forwarder.admitter.RateAllows(time.Now()):
 		x.retryNotRun(reasonQueueFull)
-		return
+	default:
+		x.retryNotRun(reasonRateLimited)
 	}
-	x.retryNotRun(reasonBusy)
 }
 
 // linkAdmits reports whether the VM's network link can carry the response in time, judged by the route's mean response
@@ -108,6 +115,8 @@
 	reasonBusy = "busy"
 	// reasonQueueFull means that the queue is full or that the call would wait too long.
 	reasonQueueFull = "queue-full"
+	// reasonRateLimited means that the upstream's rate limit would keep the call waiting too long.
+	reasonRateLimited = "rate-limited"
 )
 
 // slotRequest returns the call's request to the admitter.
@@ -156,15 +165,17 @@
 	f.serveQueue()
 }
 
-// serveQueue sends queued calls while slots are free.
+// serveQueue sends queued calls while slots are free and the rate limit allows it.
 func (f *Forwarder) serveQueue() {
+	now := time.Now()
+	defer f.armRateTimer(now)
 	for {
-		x, ok := f.admitter.Next()
+		x, ok := f.admitter.Next(now)
 		if !ok {
 			return
 		}
 		x.queued = false
-		if !f.local.reachable(time.Now()) {
+		if !f.local.reachable(now) {
 			f.admitter.Release()
 			x.retryNotRun("leaving")
 			continue
@@ -173,6 +184,26 @@
 	}
 }
 
+// armRateTimer sets the timer that serves the queue to when the rate limit allows the first queued call.
+func (f *Forwarder) armRateTimer(now time.Time) {
+	wait, waiting := f.admitter.NextGrant(now)
+	if !waiting {
+		return
+	}
+	wait = max(wait, time.Millisecond)
+	if f.local.rateTimer == nil {
+		f.local.rateTimer = time.AfterFunc(wait, f.onRateTimer)
+		return
+	}
+	f.local.rateTimer.Reset(wait)
+}
+
+func (f *Forwarder) onRateTimer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.serveQueue()
+}
+
 // unreachableBackoff is how long an upstream that could not be connected to gets no calls.
 const unreachableBackoff = 500 * time.Millisecond
 
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -41,6 +41,15 @@
 	// passed or the route has none.
 	headerAimLeft = "Tamarackpitch-Aim-Left"
 
+	// headerUpstream identifies the incarnation of the upstream beside a node that a condition applies to: in a request
+	// the condition that the sending node remembers, in a response the one that the responding node knows.
+	headerUpstream = "Tamarackpitch-Upstream"
+	// headerRateLimit is the upstream's rate limit, in calls per second. It is absent if the upstream states none.
+	headerRateLimit = "Tamarackpitch-Rate-Limit"
+	// headerRateDelay is how long the rate limit keeps a further call waiting, in milliseconds. It is negative by the
+	// accumulated calls that may be sent at once.
+	headerRateDelay = "Tamarackpitch-Rate-Delay"
+
 	headerPrefix           = "Tamarackpitch-"
 	headerIdempotencyKey   = "Idempotency-Key"
 	headerConnection       = "Connection"
--- /dev/null
+++ b/internal/forwarder/peercondition.go
@@ -0,0 +1,159 @@
+package forwarder
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/admitter"
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+)
+
+// peerConditionLifetime is how long a condition is remembered after the node beside the upstream last confirmed it.
+const peerConditionLifetime = 10 * time.Minute
+
+// peerCondition is the condition of the upstream beside another node, as that node last reported it.
+//
+// Entry nodes remember conditions so that these outlive the process beside the upstream: each call carries what its
+// entry node remembers, and a node that has just started adopts it until its upstream has stated its condition itself.
+type peerCondition struct {
+	UpstreamCondition
+	// upstream is the key of the incarnation that the condition applies to.
+	upstream uint64
+	// nextCall is when the rate limit is expected to allow a further call.
+	nextCall    time.Time
+	confirmedAt time.Time
+}
+
+// parseCondition reads a condition from the header of a message of another node. It returns false if the message has
+// none. A rate limit that can't be read is taken for none, since only other versions of this system could send it.
+func parseCondition(m *message) (upstream uint64, c UpstreamCondition, ok bool) {
+	text := m.get(headerUpstream)
+	if text == "" {
+		return 0, c, false
+	}
+	upstream, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, c, false
+	}
+	if limit, err := strconv.ParseFloat(m.get(headerRateLimit), 64); err == nil && limit >= 0 {
+		c.Limited, c.RateLimit = true, limit
+	}
+	return upstream, c, true
+}
+
+// writeCondition writes the header fields that parseCondition reads.
+func writeCondition(b *bytes.Buffer, upstream uint64, c UpstreamCondition) {
+	writeField(b, headerUpstream, strconv.FormatUint(upstream, 16))
+	if c.Limited {
+		writeField(b, headerRateLimit, strconv.FormatFloat(c.RateLimit, 'g', -1, 64))
+	}
+}
+
+// writePeerCondition writes what this node remembers about the upstream beside another node into a request to it.
+func (f *Forwarder) writePeerCondition(b *bytes.Buffer, node string) {
+	if c, ok := f.peerConditions[node]; ok {
+		writeCondition(b, c.upstream, c.UpstreamCondition)
+	}
+}
+
+// adoptCondition applies what another node remembers about the local upstream, unless that has stated its condition to
+// this process. Of several rate limits the lowest applies.
+func (f *Forwarder) adoptCondition(m *message) {
+	l := &f.local.condition
+	upstream, c, ok := parseCondition(m)
+	if !ok || l.stated || f.local.upstream == nil || f.local.upstream.Incarnation().Key() != upstream {
+		return
+	}
+	if l.Limited && (!c.Limited || l.RateLimit < c.RateLimit) {
+		c.Limited, c.RateLimit = true, l.RateLimit
+	}
+	f.setCondition(c, time.Now())
+}
+
+// writeLocalCondition writes the local upstream's condition into the response to another node. A condition without
+// limits is written only if the other node remembers one.
+func (x *exchange) writeLocalCondition(b *bytes.Buffer, now time.Time) {
+	f := x.forwarder
+	l := &f.local.condition
+	if l.UpstreamCondition == (UpstreamCondition{}) && (!l.stated || x.request.message.get(headerUpstream) == "") {
+		return
+	}
+	writeCondition(b, l.incarnation.Key(), l.UpstreamCondition)
+	if l.Limited {
+		writeField(b, headerRateDelay, strconv.FormatInt(f.admitter.RateDelay(now).Milliseconds(), 10))
+	}
+}
+
+// observePeerCondition remembers the condition that another node reports in a response.
+func (a *attempt) observePeerCondition(m *message) {
+	f, node := a.exchange.forwarder, a.endpoint.Node
+	upstream, next, ok := parseCondition(m)
+	if !ok {
+		if m.get(headerRun) == runNo {
+			f.revertPeerCall(a.endpoint)
+		}
+		return
+	}
+	if next == (UpstreamCondition{}) {
+		delete(f.peerConditions, node)
+		return
+	}
+	now := time.Now()
+	c := &peerCondition{UpstreamCondition: next, upstream: upstream, confirmedAt: now}
+	if delay, err := strconv.ParseInt(m.get(headerRateDelay), 10, 64); err == nil {
+		c.nextCall = now.Add(time.Duration(delay) * time.Millisecond)
+	}
+	f.peerConditions[node] = c
+}
+
+// conditionOf returns what this node remembers about an endpoint's upstream, or nil.
+func (f *Forwarder) conditionOf(e *balancer.Endpoint) *peerCondition {
+	c := f.peerConditions[e.Node]
+	if c == nil || c.upstream != e.Upstream.Key() {
+		return nil
+	}
+	return c
+}
+
+// recordPeerCall accounts for a call that is sent to an endpoint until its node reports the rate delay again.
+func (f *Forwarder) recordPeerCall(e *balancer.Endpoint, now time.Time) {
+	c := f.conditionOf(e)
+	if c == nil || !c.Limited {
+		return
+	}
+	interval := admitter.Interval(c.RateLimit)
+	earliest := now.Add(-time.Duration(admitter.Burst(c.RateLimit)-1) * interval)
+	if c.nextCall.Before(earliest) {
+		c.nextCall = earliest
+	}
+	c.nextCall = c.nextCall.Add(interval)
+}
+
+// revertPeerCall reverts recordPeerCall for a call that did not reach the endpoint's upstream.
+func (f *Forwarder) revertPeerCall(e *balancer.Endpoint) {
+	if c := f.conditionOf(e); c != nil && c.Limited {
+		c.nextCall = c.nextCall.Add(-admitter.Interval(c.RateLimit))
+	}
+}
+
+// rateDelay returns how long an endpoint's rate limit keeps a further call waiting. It is not positive if it does not.
+func (f *Forwarder) rateDelay(e *balancer.Endpoint, now time.Time) time.Duration {
+	if e.Node == f.common.Settings.Name {
+		return f.admitter.RateDelay(now)
+	}
+	c := f.conditionOf(e)
+	if c == nil || !c.Limited {
+		return 0
+	}
+	return c.nextCall.Sub(now)
+}
+
+// sweepPeerConditions forgets conditions that have not been confirmed for long.
+func (f *Forwarder) sweepPeerConditions(now time.Time) {
+	for node, c := range f.peerConditions {
+		if now.Sub(c.confirmedAt) >= peerConditionLifetime {
+			delete(f.peerConditions, node)
+		}
+	}
+}
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -85,6 +85,7 @@
 			writeField(b, headerStarved, "1")
 		}
 		writeField(b, headerLoad, fmt.Sprintf("%d %.1f", load, service.Seconds()*1000))
+		x.writeLocalCondition(b, time.Now())
 	}
 	b.WriteString("\r\n")
 }
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -40,7 +40,8 @@
 	if !x.canTryAnother() || x.needsRetryToken() && !x.forwarder.budget(x.service, x.route.Class).CanWithdraw() {
 		return false
 	}
-	untried := func(e *balancer.Endpoint) bool { return !x.tried[e.Node] }
+	now := time.Now()
+	untried := func(e *balancer.Endpoint) bool { return x.mayTry(e, now) }
 	return x.snapshot.Services[x.service].HasEndpoint(untried)
 }
 
--- a/internal/forwarder/retryafter.go
+++ b/internal/forwarder/retryafter.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -29,5 +30,21 @@
 	// Jitter keeps callers that were refused together from retrying together.
 	jitter := 0.5 + x.forwarder.random.Float64()/2
 	after := max(time.Duration(jitter*float64(longest)), minRetryAfter)
+	// Before the first rate limit allows a call, the caller would only be refused again.
+	after = min(after+x.shortestRateDelay(time.Now()), maxRetryAfter)
 	return strconv.FormatFloat(after.Seconds(), 'f', 3, 64), true
 }
+
+// shortestRateDelay returns how long the rate limits of all endpoints of the call's service keep a further call waiting;
+// 0 if any of them does not.
+func (x *exchange) shortestRateDelay(now time.Time) time.Duration {
+	service := x.snapshot.Services[x.service]
+	if x.route == nil || service == nil {
+		return 0
+	}
+	shortest := maxRetryAfter
+	for _, e := range slices.Concat(service.Stable, service.Canary) {
+		shortest = min(shortest, x.forwarder.rateDelay(e, now))
+	}
+	return max(shortest, 0)
+}
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if !x.idempotent || !a.conn.reused || x.arrivals >= x.maxAttempts() || !x.replayable() ||
-		!f.local.lastResponseAt.After(a.began) {
+		!f.local.lastResponseAt.After(a.began) || !f.admitter.RateAllows(now) {
 		return
 	}
 	f.stats.Retries.Add(1)
