Send no calls to upstreams that state that they are draining

What would have been seen: calls to an upstream after its responses had stated that it leaves, until its next heartbeat, and again after a restart of the node beside it whose upstream stops its heartbeats or whose store is away.

Cause: the same as for rate limits: the statement reached no decision, and only the node beside the upstream knew of the leave.

Change: draining is part of the condition that nodes report to entry nodes, which remember it by incarnation, choose other endpoints and send it along until the node beside the upstream knows it itself. That node takes no new calls for the incarnation, refuses those that wait, and withdraws it, so that all nodes learn it and a restart of the node finds it in the store. It never ends for an incarnation.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/adminserver"
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/checker"
 	"github.com/tamarackpitch/tamarackpitch/internal/common"
 	"github.com/tamarackpitch/tamarackpitch/internal/controller"
@@ -87,7 +88,7 @@
 	self := newSelf(s)
 	var err error
 	p.forwarder, err = forwarder.New(forwarder.Config{Common: p.common, ReportCrash: p.reportCrash,
-		Dialect: p.dialect.headers, Service: s.Service, Process: self.Process})
+		ReportDraining: p.reportDraining, Dialect: p.dialect.headers, Service: s.Service, Process: self.Process})
 	if err != nil {
 		return nil, err
 	}
@@ -118,6 +119,17 @@
 	}
 }
 
+// reportDraining withdraws an incarnation of the local upstream that has stated that it is draining.
+func (p *nodeProcess) reportDraining(i balancer.Incarnation) {
+	k := p.controller.Load()
+	if k == nil {
+		return
+	}
+	if err := k.Withdraw(i.Instance, i.StartedUnixMs); err != nil {
+		p.common.Logger.Warn("draining upstream not withdrawn", "instance", i.Instance, "error", err)
+	}
+}
+
 // newSelf returns the node's initial entry in the membership table.
 func newSelf(s settings.Node) *schema.Member {
 	return &schema.Member{Node: s.Name, Incarnation: uint64(time.Now().UnixMilli()), Process: rand.Uint64(), Zone: s.Zone, Region: s.Region,
--- a/internal/forwarder/condition.go
+++ b/internal/forwarder/condition.go
@@ -62,6 +62,8 @@
 		// A refusal without a rate limit may come from a part of the upstream that does not know it.
 		next.Limited, next.RateLimit = last.Limited, last.RateLimit
 	}
+	// An incarnation that is draining does not come back.
+	next.Draining = next.Draining || last.Draining
 	f.local.condition.stated = true
 	f.setCondition(next, time.Now())
 }
@@ -83,9 +85,25 @@
 	} else {
 		f.admitter.ClearRateLimit()
 	}
+	if next.Draining && !last.Draining {
+		f.admitter.SetLimits(0, 0)
+		f.refuseQueued()
+		if f.config.ReportDraining != nil {
+			go (&drainReport{forwarder: f, incarnation: l.incarnation}).run()
+		}
+	}
 	f.serveQueue()
 }
 
+// drainReport reports to the control goroutine that the local upstream is draining. It runs without Forwarder.mu, since
+// the control goroutine may be waiting for it.
+type drainReport struct {
+	forwarder   *Forwarder
+	incarnation balancer.Incarnation
+}
+
+func (r *drainReport) run() { r.forwarder.config.ReportDraining(r.incarnation) }
+
 // resetCondition forgets the condition if it is that of another incarnation than the local upstream's.
 func (f *Forwarder) resetCondition(now time.Time) {
 	l := &f.local.condition
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -46,7 +46,9 @@
 // reasonWithoutEndpoint returns the reason for refusing a call that no endpoint may take.
 func (x *exchange) reasonWithoutEndpoint(s *router.Service) string {
 	now := time.Now()
-	limited := func(e *balancer.Endpoint) bool { return !x.tried[e.Node] && !x.admitsInTime(e, now) }
+	limited := func(e *balancer.Endpoint) bool {
+		return !x.tried[e.Node] && !x.forwarder.isDraining(e) && !x.admitsInTime(e, now)
+	}
 	if s.HasEndpoint(limited) {
 		return reasonRateLimited
 	}
@@ -66,18 +68,18 @@
 	delete(x.tried, node)
 }
 
-// hasEndpointInZone reports whether the service has an endpoint in this node's zone whose rate limit allows the call.
+// hasEndpointInZone reports whether the service has an endpoint in this node's zone that may take the call.
 func (x *exchange) hasEndpointInZone() bool {
 	now := time.Now()
 	sameZone := func(e *balancer.Endpoint) bool {
-		return e.Zone == x.forwarder.common.Settings.Zone && x.admitsInTime(e, now)
+		return e.Zone == x.forwarder.common.Settings.Zone && !x.forwarder.isDraining(e) && x.admitsInTime(e, now)
 	}
 	return x.snapshot.Services[x.service].HasEndpoint(sameZone)
 }
 
 // mayTry reports whether an endpoint that the call has not tried may still take it.
 func (x *exchange) mayTry(e *balancer.Endpoint, now time.Time) bool {
-	return !x.tried[e.Node] && x.admitsInTime(e, now)
+	return !x.tried[e.Node] && !x.forwarder.isDraining(e) && x.admitsInTime(e, now)
 }
 
 // admitsInTime reports whether an endpoint's rate limit lets the call start in time, as far as this node knows.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -44,6 +44,8 @@
 	// ReportCrash is called after the local upstream has crashed, with the fingerprints of the requests that may have
 	// caused it.
 	ReportCrash func([]uint64)
+	// ReportDraining is called after the local upstream has stated that it is draining. It may be nil.
+	ReportDraining func(balancer.Incarnation)
 	// Dialect names the deployment's headers. Without TimeLeft, it stands for OwnDialect.
 	Dialect Dialect
 	// Service is the service on whose VM this node runs, or empty if it is not known.
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -35,7 +35,7 @@
 		queueLength = defaultQueueLength
 	}
 	f.resetCondition(time.Now())
-	if snapshot.LocalUpstream == nil || snapshot.LocalUpstream.Draining {
+	if snapshot.LocalUpstream == nil || f.local.draining() {
 		f.admitter.SetLimits(0, queueLength)
 		f.refuseQueued()
 		return
@@ -145,7 +145,7 @@
 func (x *exchange) sendLocal() {
 	f := x.forwarder
 	l := f.local.upstream
-	f.common.Checker.Assert(!l.Draining, checker.NoCallToDraining, "call %x sent to a draining upstream", x.id)
+	f.common.Checker.Assert(!f.local.draining(), checker.NoCallToDraining, "call %x sent to a draining upstream", x.id)
 	a := &attempt{exchange: x, kind: kindCall, fresh: x.freshConn, reservedBytes: f.responseBytes[x.route.Name],
 		incarnation: l.Incarnation()}
 	f.recordSend(time.Now())
@@ -220,7 +220,10 @@
 	f.common.Logger.Debug("upstream refused the call", "request", a.exchange.requestID(), "status", a.response.status)
 }
 
+// draining reports whether the local upstream has announced or stated that it is draining. There must be one.
+func (l *localState) draining() bool { return l.upstream.Draining || l.condition.Draining }
+
 // reachable reports whether the local upstream may get calls: it is announced, not draining and not in its backoff.
 func (l *localState) reachable(now time.Time) bool {
-	return l.upstream != nil && !l.upstream.Draining && !now.Before(l.unreachableUntil)
+	return l.upstream != nil && !l.draining() && !now.Before(l.unreachableUntil)
 }
--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -31,6 +31,8 @@
 	name    string
 	common  *common.Common
 	crashes chan []uint64
+	// drains holds the upstreams reported as draining.
+	drains chan balancer.Incarnation
 }
 
 func newNode(t *testing.T, name string) *testNode {
@@ -57,7 +59,7 @@
 
 func startNode(t *testing.T, name string, d forwarder.Dialect, mbps float64) *testNode {
 	t.Helper()
-	n := &testNode{name: name, crashes: make(chan []uint64, 16)}
+	n := &testNode{name: name, crashes: make(chan []uint64, 16), drains: make(chan balancer.Incarnation, 16)}
 	n.common = &common.Common{
 		Logger: hclog.NewNullLogger(),
 		Settings: settings.Node{Name: name, Zone: "a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", MaxInFlight: 100,
@@ -69,7 +71,7 @@
 		Recorder: recorder.New(name, time.Now),
 	}
 	f, err := forwarder.New(forwarder.Config{Common: n.common, Dialect: d, Service: "service-of-" + name,
-		ReportCrash: func(f []uint64) { n.crashes <- f }})
+		ReportCrash: func(f []uint64) { n.crashes <- f }, ReportDraining: func(i balancer.Incarnation) { n.drains <- i }})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(f.Close)
 	n.Forwarder = f
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -49,6 +49,8 @@
 	// headerRateDelay is how long the rate limit keeps a further call waiting, in milliseconds. It is negative by the
 	// accumulated calls that may be sent at once.
 	headerRateDelay = "Tamarackpitch-Rate-Delay"
+	// headerDraining has the value valueDraining if the upstream is draining.
+	headerDraining = "Tamarackpitch-Draining"
 
 	headerPrefix           = "Tamarackpitch-"
 	headerIdempotencyKey   = "Idempotency-Key"
@@ -74,6 +76,9 @@
 // waitNo is the only value of headerWait.
 const waitNo = "no"
 
+// valueDraining is the only value of headerDraining.
+const valueDraining = "1"
+
 // field is one header field. Its key is in canonical form.
 type field struct {
 	key   string
--- a/internal/forwarder/peercondition.go
+++ b/internal/forwarder/peercondition.go
@@ -39,6 +39,7 @@
 	if limit, err := strconv.ParseFloat(m.get(headerRateLimit), 64); err == nil && limit >= 0 {
 		c.Limited, c.RateLimit = true, limit
 	}
+	c.Draining = m.get(headerDraining) == valueDraining
 	return upstream, c, true
 }
 
@@ -48,6 +49,9 @@
 	if c.Limited {
 		writeField(b, headerRateLimit, strconv.FormatFloat(c.RateLimit, 'g', -1, 64))
 	}
+	if c.Draining {
+		writeField(b, headerDraining, valueDraining)
+	}
 }
 
 // writePeerCondition writes what this node remembers about the upstream beside another node into a request to it.
@@ -68,6 +72,7 @@
 	if l.Limited && (!c.Limited || l.RateLimit < c.RateLimit) {
 		c.Limited, c.RateLimit = true, l.RateLimit
 	}
+	c.Draining = c.Draining || l.Draining
 	f.setCondition(c, time.Now())
 }
 
@@ -116,6 +121,15 @@
 	return c
 }
 
+// isDraining reports whether an endpoint's upstream has stated that it is draining, as far as this node knows.
+func (f *Forwarder) isDraining(e *balancer.Endpoint) bool {
+	if e.Node == f.common.Settings.Name {
+		return f.local.upstream != nil && f.local.draining()
+	}
+	c := f.conditionOf(e)
+	return c != nil && c.Draining
+}
+
 // recordPeerCall accounts for a call that is sent to an endpoint until its node reports the rate delay again.
 func (f *Forwarder) recordPeerCall(e *balancer.Endpoint, now time.Time) {
 	c := f.conditionOf(e)
--- a/internal/forwarder/statesdraining_test.go
+++ b/internal/forwarder/statesdraining_test.go
@@ -1,8 +1,7 @@
-//go:build knownred
-
 package forwarder_test
 
 import (
+	"net/http"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -21,6 +20,7 @@
 	entry.publish(snapshotConfig{endpoints: endpoints})
 	sidecar.publish(snapshotConfig{endpoints: endpoints, local: local})
 	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
+	qt.Assert(t, <-sidecar.drains, qt.Equals, local.Incarnation())
 	for _, n := range []*testNode{entry, sidecar} {
 		r := sendGet(n)
 		qt.Assert(t, r.status, qt.Equals, 503)
@@ -33,3 +33,47 @@
 	qt.Assert(t, sendGet(entry).status, qt.Equals, 503)
 	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
 }
+
+// TestQueuedCallsReachDrainingUpstream queues a call for the only slot of an upstream whose next response states that it
+// is draining.
+func TestQueuedCallsReachDrainingUpstream(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		w.Header().Set(headerDraining, "1")
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Seal", "s")
+	})
+	n := newNodeWith(t, "sidecar", statingDialect())
+	local := u.local("v1")
+	local.Slots = 1
+	n.publish(snapshotConfig{endpoints: []*balancer.Endpoint{describe(n.endpoint("v1"), local)}, local: local})
+	replies := make(chan reply, 2)
+	for range 2 {
+		go func() { replies <- sendGet(n) }()
+	}
+	eventually(t, "both calls have entered", func() bool { return n.Stats().Entered.Load() == 2 })
+	close(release)
+	statuses := []int{(<-replies).status, (<-replies).status}
+	qt.Assert(t, statuses, qt.ContentEquals, []int{200, 503})
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+}
+
+// TestDrainingOutlivesTheUpstream starts the upstream again under the same name: it gets calls.
+func TestDrainingOutlivesTheUpstream(t *testing.T) {
+	u := newStatingUpstream(t)
+	u.draining.Store("1")
+	entry, sidecar := newNodeWith(t, "entry", statingDialect()), newNodeWith(t, "sidecar", statingDialect())
+	publish := func(run int64) {
+		endpoints := []*balancer.Endpoint{describe(sidecar.endpoint("v1"), u.incarnation(run))}
+		entry.publish(snapshotConfig{endpoints: endpoints})
+		sidecar.publish(snapshotConfig{endpoints: endpoints, local: u.incarnation(run)})
+	}
+	publish(1)
+	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
+	qt.Assert(t, sendGet(entry).status, qt.Equals, 503)
+	u.draining.Store("")
+	publish(2)
+	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
+	qt.Assert(t, sendGet(sidecar).status, qt.Equals, 200)
+}
