Endpoints don't name the upstream that has left as theirs

What callers could have seen: an upstream that starts on a VM whose previous upstream left would get no calls from entry nodes that remember the previous one as draining, for up to ten minutes.

Cause: a member names the incarnation that left for as long as its node lives, so that a restart finds it; the endpoint took it for the one that takes calls.

Change: an endpoint names an incarnation only if that is the announced one. Of an unknown one nothing remembered is applied; the node beside it still enforces what it is sent.

Evidence: TestEndpointIsTakenForTheUpstreamThatLeft; with the earlier expression its third case names the incarnation that left.

--- a/internal/controller/lease_test.go
+++ b/internal/controller/lease_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
@@ -79,3 +80,21 @@
 	qt.Assert(t, a, qt.Not(qt.Equals), b)
 	qt.Assert(t, nextEpoch(max(a, b), "node-a") > max(a, b), qt.IsTrue)
 }
+
+// TestEndpointIsTakenForTheUpstreamThatLeft: a member names the incarnation that left, also once the next one takes
+// calls. What was known about the earlier one must not be applied to that.
+func TestEndpointIsTakenForTheUpstreamThatLeft(t *testing.T) {
+	tests := []struct {
+		name string
+		m    *schema.Member
+		want balancer.Incarnation
+	}{
+		{"announced", &schema.Member{Instance: "a", InstanceUnixMs: 1}, balancer.Incarnation{Instance: "a", StartedUnixMs: 1}},
+		{"draining", &schema.Member{Instance: "a", InstanceUnixMs: 1, UpstreamLeft: true, Draining: true},
+			balancer.Incarnation{Instance: "a", StartedUnixMs: 1}},
+		{"next incarnation", &schema.Member{Instance: "a", InstanceUnixMs: 1, UpstreamLeft: true}, balancer.Incarnation{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { qt.Assert(t, upstreamOf(test.m), qt.Equals, test.want) })
+	}
+}
--- a/internal/controller/snapshotcache.go
+++ b/internal/controller/snapshotcache.go
@@ -185,10 +185,19 @@
 		Node: m.Node, Incarnation: m.Incarnation, Process: m.Process, Zone: m.Zone, Service: m.Service, Version: m.Version,
 		PeerAddress: m.PeerAddress, ControlAddress: m.ControlAddress, Slots: m.Slots, WarmAt: time.UnixMilli(m.WarmUnixMs),
 		Suspect: m.Status == schema.MemberStatus_MEMBER_STATUS_SUSPECT, Load: k.snapshotCache.load(m),
-		Upstream: balancer.Incarnation{Instance: m.Instance, StartedUnixMs: m.InstanceUnixMs},
+		Upstream: upstreamOf(m),
 	}
 }
 
+// upstreamOf returns the incarnation of a member's upstream. It is the zero value if the member names an earlier one,
+// which has left, although its upstream takes calls.
+func upstreamOf(m *schema.Member) balancer.Incarnation {
+	if m.UpstreamLeft && !m.Draining {
+		return balancer.Incarnation{}
+	}
+	return balancer.Incarnation{Instance: m.Instance, StartedUnixMs: m.InstanceUnixMs}
+}
+
 // share returns the share of calls, from 0 to 1, that goes to a rollout's new version.
 func (k *Controller) share(r *schema.Rollout) float64 {
 	p := k.progress[r.Name]
