Don't reuse connections beyond the keep-alive timeout that upstreams state

What callers could have seen: 502 for a call that must not be repeated, when it is sent on a connection that its upstream has given up.

Idle connections were used for up to the node's own 15 s, whatever the upstream said.

Change: a connection is used until half a second before the timeout that the last response on it stated, and then closed.

--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -10,6 +10,8 @@
 	// attempt is the one on the connection, or nil while it is idle.
 	attempt   *attempt
 	idleSince time.Time
+	// keepAlive is how long the server keeps the connection while it is idle, or 0 if it has not stated that.
+	keepAlive time.Duration
 	// reused is set if the connection has carried another attempt before.
 	reused bool
 	// response is the head of the response being read, or nil if it is discarded.
@@ -18,6 +20,30 @@
 	skippedStale bool
 }
 
+// keepAliveMargin is how long before the end of the server's timeout an idle connection is no longer used, so that no
+// request crosses the server's close.
+const keepAliveMargin = 500 * time.Millisecond
+
+// maxIdle returns how long the connection may be idle and still be used.
+func (c *clientConn) maxIdle() time.Duration {
+	limit := c.forwarder.common.Settings.IdleTimeout
+	if c.keepAlive > 0 {
+		limit = min(limit, max(c.keepAlive-keepAliveMargin, 0))
+	}
+	return limit
+}
+
+// unusable returns why an idle connection can't be used any more, or nil.
+func (c *clientConn) unusable(now time.Time) error {
+	switch {
+	case c.conn.hasInput():
+		return &Error{Operation: "reuse", Kind: KindMalformed, Detail: "response without a request"}
+	case now.Sub(c.idleSince) >= c.maxIdle():
+		return &Error{Operation: "reuse", Kind: KindCut, Detail: "idle for too long"}
+	}
+	return nil
+}
+
 func (c *clientConn) isHead() bool {
 	return c.attempt != nil && c.attempt.exchange.request.message.method == "HEAD" && c.attempt.kind == kindCall
 }
@@ -77,6 +103,7 @@
 	}
 	a.onResponseEnd()
 	if reusable {
+		c.keepAlive = m.keepAliveTimeout()
 		c.pool.put(c)
 	}
 	return nil
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Headers of messages between nodes, and of responses to callers.
@@ -59,6 +60,7 @@
 	headerTransferEncoding = "Transfer-Encoding"
 	headerExpect           = "Expect"
 	headerHost             = "Host"
+	headerKeepAlive        = "Keep-Alive"
 	headerRetryAfter       = "Retry-After"
 	headerUpgrade          = "Upgrade"
 )
@@ -134,11 +136,23 @@
 	return !strings.Contains(connection, "close")
 }
 
+// keepAliveTimeout returns how long the sender keeps the connection open while it is idle, as its Keep-Alive field
+// states, or 0 if it does not.
+func (m *message) keepAliveTimeout() time.Duration {
+	for _, parameter := range strings.Split(m.get(headerKeepAlive), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		if seconds, err := strconv.ParseUint(value, 10, 31); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
 // isHopByHop reports whether a header field applies to one connection only. Content-Length counts as one, since each
 // hop writes its own framing.
 func isHopByHop(key string) bool {
 	switch key {
-	case headerConnection, "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te",
+	case headerConnection, headerKeepAlive, "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te",
 		"Trailer", headerTransferEncoding, headerUpgrade, headerExpect, headerContentLength:
 		return true
 	}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -61,7 +61,7 @@
 
 // takeIdle returns the most recently used idle connection whose reuse delay has passed, or nil. If the pool is at its
 // limit, the one idle for longest is taken even if its delay has not passed. Connections that have received input while
-// idle are closed.
+// idle, or that have been idle for too long, are closed.
 func (p *pool) takeIdle(fresh bool) *clientConn {
 	if fresh {
 		return nil
@@ -73,8 +73,8 @@
 		if now.Sub(c.idleSince) < p.reuseDelay && (!atLimit || i > 0) {
 			continue
 		}
-		if c.conn.hasInput() {
-			c.conn.closeWith(&Error{Operation: "reuse", Kind: KindMalformed, Detail: "response without a request"})
+		if err := c.unusable(now); err != nil {
+			c.conn.closeWith(err)
 			i = min(i, len(p.idle))
 			continue
 		}
@@ -177,11 +177,11 @@
 	}
 }
 
-// sweep closes connections that have been idle for the idle timeout, since network devices on the way may have dropped
-// their state.
+// sweep closes connections that have been idle for too long: network devices on the way may have dropped their state, and
+// the server is about to close them.
 func (p *pool) sweep(now time.Time) {
 	for _, c := range slices.Clone(p.idle) {
-		if now.Sub(c.idleSince) >= p.forwarder.common.Settings.IdleTimeout {
+		if now.Sub(c.idleSince) >= c.maxIdle() {
 			c.conn.closeWith(nil)
 		}
 	}
