Apply the cold start that an upstream announces after its first announcement

What callers could have seen: a running upstream that turns cold again, and says so, keeps the load of a warm one.

Change: a later announcement moves the end of the cold start if it is more than a second later than known, so that announcements that vary in delay don't change the member each time.

Evidence: TestUpstreamThatTurnsColdAgainIsTakenForWarm failed before (cold again: 3 s instead of 8 s) and passes.

--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -29,6 +29,11 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 }
 
+// coldStart returns the remaining time until the upstream is warm.
+func (a Announcement) coldStart() time.Duration {
+	return time.Duration(a.ColdStartMs) * time.Millisecond
+}
+
 // AnnouncementResponse is the node's response to an Announcement.
 type AnnouncementResponse struct {
 	// LeaseMs is how long the announcement is valid, in milliseconds.
@@ -104,7 +109,9 @@
 	k.lease.expiresAt = now.Add(k.common.Settings.Lease)
 	k.snapshotCache.dirtyStatus = true
 	if newIncarnation || a.Version != k.table.Self().Version {
-		k.lease.warmAt = now.Add(time.Duration(a.ColdStartMs) * time.Millisecond)
+		k.lease.warmAt = now.Add(a.coldStart())
+	} else {
+		k.lease.extendColdStart(a.coldStart(), now)
 	}
 	if a.Draining {
 		k.withdraw(a.Instance, a.StartedUnixMs)
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -54,6 +54,18 @@
 	return a.Draining || l.hasLeft(a.Instance, a.StartedUnixMs)
 }
 
+// coldStartTolerance is how much later than known an announced cold start has to end to be taken over. Announcements
+// arrive late by varying times, and each change is sent to all nodes.
+const coldStartTolerance = time.Second
+
+// extendColdStart applies the remaining cold start of an announcement. An upstream may become cold again while it runs.
+func (l *lease) extendColdStart(remaining time.Duration, now time.Time) {
+	end := now.Add(remaining)
+	if remaining > 0 && end.Sub(l.warmAt) > coldStartTolerance {
+		l.warmAt = end
+	}
+}
+
 // clearAnnouncement removes the announcement, but keeps which incarnation has left, and what isStale compares.
 func (l *lease) clearAnnouncement() {
 	a := l.announcement
--- a/internal/controller/lease_test.go
+++ b/internal/controller/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -98,3 +99,41 @@
 		t.Run(test.name, func(t *testing.T) { qt.Assert(t, upstreamOf(test.m), qt.Equals, test.want) })
 	}
 }
+
+// TestUpstreamThatTurnsColdAgainIsTakenForWarm announces cold starts after the first one.
+func TestUpstreamThatTurnsColdAgainIsTakenForWarm(t *testing.T) {
+	t.Parallel()
+	n := startMeshNode(t, &fakeStore{seeds: map[string]*schema.Member{}}, "n", "a")
+	start := time.Now()
+	tests := []struct {
+		name             string
+		at, remaining    time.Duration
+		wantEnd          time.Duration
+		newRun, wantSame bool
+	}{
+		{"cold at its start", 0, 3 * time.Second, 3 * time.Second, true, false},
+		{"announced late", time.Second, 2500 * time.Millisecond, 3 * time.Second, false, true},
+		{"warm", 4 * time.Second, 0, 3 * time.Second, false, true},
+		{"cold again", 6 * time.Second, 2 * time.Second, 8 * time.Second, false, false},
+		{"cold for longer", 7 * time.Second, 4 * time.Second, 11 * time.Second, false, false},
+		{"next incarnation, warm", 8 * time.Second, 0, 8 * time.Second, true, false},
+	}
+	run := int64(0)
+	for i, test := range tests {
+		if test.newRun {
+			run++
+		}
+		a := testAnnouncement("a", run, uint64(i+1))
+		a.ColdStartMs = test.remaining.Milliseconds()
+		var end time.Time
+		var changed bool
+		n.do(func() {
+			before := n.table.Self().WarmUnixMs
+			n.renewLease(a, start.Add(test.at))
+			end = n.lease.warmAt
+			changed = before != n.table.Self().WarmUnixMs
+		})
+		qt.Assert(t, end.Sub(start), qt.Equals, test.wantEnd, qt.Commentf(test.name))
+		qt.Assert(t, changed, qt.Equals, !test.wantSame, qt.Commentf(test.name))
+	}
+}
