Condition reports between nodes have a type; split what enforces from what counts

Cause: reading the change as a newcomer: the header fields of a condition were read and written in several places, and an invalid one was taken for none without a log line. The log did not tell a limit that the upstream stated from one that another node reported.

Change: conditionReport with write and parse, in a file of its own; errors are logged. sends.go, drainreport.go. Endpoint.accepts joins the two checks of dispatch. Log lines and behaviour otherwise as before.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -144,18 +144,22 @@
 		}
 		late = true
 	}
+	return latestStart(r, service, deadlineTimes), late
+}
+
+// latestStart returns the time that is a number of service times before the item's deadline, or the zero time if it has
+// no deadline.
+func latestStart(r Request, service time.Duration, deadlineTimes float64) time.Time {
 	if r.Deadline.IsZero() {
-		return time.Time{}, late
+		return time.Time{}
 	}
-	return r.Deadline.Add(-time.Duration(deadlineTimes * float64(service))), late
+	return r.Deadline.Add(-time.Duration(deadlineTimes * float64(service)))
 }
 
 // LatestStart returns the latest time at which an item must have a slot to be answered before its deadline, or the zero
 // time if it has no deadline.
 func (a *Admitter[T]) LatestStart(r Request) time.Time {
-	r.Target = time.Time{}
-	start, _ := startBy(r, a.times.mean(r.Kind), time.Time{}, a.deadlineTimes())
-	return start
+	return latestStart(r, a.times.mean(r.Kind), a.deadlineTimes())
 }
 
 // deadlineTimes returns how many mean service times before its deadline an item must have a slot.
--- a/internal/forwarder/condition.go
+++ b/internal/forwarder/condition.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
-	"github.com/tamarackpitch/tamarackpitch/internal/checker"
 	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
 )
 
@@ -24,7 +23,7 @@
 // localCondition is the condition of the local upstream, as far as this process knows it.
 type localCondition struct {
 	UpstreamCondition
-	// incarnation is the one that the condition applies to. For any other it is the zero value.
+	// incarnation is the one that the condition applies to. It is the local upstream's, if there is one.
 	incarnation balancer.Incarnation
 	// stated reports whether a response to this process has stated the condition. Until then it is what other nodes
 	// remember from before this process started.
@@ -35,9 +34,6 @@
 	nextLogAt time.Time
 }
 
-// rateLimitLogInterval is the time between two log lines about the calls sent under a rate limit.
-const rateLimitLogInterval = meterWindow
-
 // describesUpstream reports whether a response of the local upstream's address tells something about the upstream that
 // the call was addressed to, and that upstream is still the local one.
 func (a *attempt) describesUpstream(m *message) bool {
@@ -95,15 +91,6 @@
 	f.serveQueue()
 }
 
-// drainReport reports to the control goroutine that the local upstream is draining. It runs without Forwarder.mu, since
-// the control goroutine may be waiting for it.
-type drainReport struct {
-	forwarder   *Forwarder
-	incarnation balancer.Incarnation
-}
-
-func (r *drainReport) run() { r.forwarder.config.ReportDraining(r.incarnation) }
-
 // resetCondition forgets the condition if it is that of another incarnation than the local upstream's.
 func (f *Forwarder) resetCondition(now time.Time) {
 	l := &f.local.condition
@@ -118,10 +105,13 @@
 // recordCondition records a change of the local upstream's condition in the log, the timeline and the metrics.
 func (f *Forwarder) recordCondition(last, next UpstreamCondition) {
 	instance := f.local.condition.incarnation.Instance
+	// Until the upstream has stated its condition to this process, other nodes have reported it.
+	reported := !f.local.condition.stated
 	f.stats.setRateLimit(next.RateLimit)
 	switch {
 	case next.Limited && !last.Limited:
-		f.common.Logger.Info("upstream states a rate limit", "instance", instance, "limit", next.RateLimit)
+		f.common.Logger.Info("upstream states a rate limit", "instance", instance, "limit", next.RateLimit,
+			"reported-by-node", reported)
 		f.recordUpstreamEvent("upstream-rate-limited", map[string]string{
 			"instance": instance, "limit": strconv.FormatFloat(next.RateLimit, 'f', -1, 64)})
 	case !next.Limited && last.Limited:
@@ -129,7 +119,7 @@
 		f.recordUpstreamEvent("upstream-rate-limit-ended", map[string]string{"instance": instance})
 	}
 	if next.Draining && !last.Draining {
-		f.common.Logger.Info("upstream states that it is draining", "instance", instance)
+		f.common.Logger.Info("upstream states that it is draining", "instance", instance, "reported-by-node", reported)
 		f.recordUpstreamEvent("upstream-states-draining", map[string]string{"instance": instance})
 	}
 }
@@ -137,33 +127,3 @@
 func (f *Forwarder) recordUpstreamEvent(name string, fields map[string]string) {
 	f.common.Recorder.Record(recorder.Event{Name: name, Service: f.local.upstream.Service, Fields: fields})
 }
-
-const (
-	// rateLimitTolerance and rateLimitSlack bound the calls that an upstream may get in a meterWindow: the tolerance
-	// times what its rate limit allows, plus the slack.
-	rateLimitTolerance = 1.5
-	rateLimitSlack     = 5
-)
-
-// recordSend counts a call that is sent to the local upstream, and checks that its rate limit is kept.
-func (f *Forwarder) recordSend(now time.Time) {
-	f.stats.Sent.Add(1)
-	l := &f.local.condition
-	l.sends.record(now)
-	if !l.Limited {
-		return
-	}
-	sent := l.sends.total(now)
-	allowed := rateLimitTolerance*l.RateLimit*meterWindow.Seconds() + rateLimitSlack
-	f.common.Checker.Assert(float64(sent) <= allowed, checker.RateLimitKept,
-		"%d calls in %v to an upstream with a rate limit of %v per second", sent, meterWindow, l.RateLimit)
-	if float64(sent) > allowed {
-		// The count begins anew, so that each excess is reported once.
-		l.sends = sendMeter{}
-	}
-	if !now.Before(l.nextLogAt) {
-		l.nextLogAt = now.Add(rateLimitLogInterval)
-		f.common.Logger.Info("calls sent under a rate limit", "instance", l.incarnation.Instance, "limit", l.RateLimit,
-			"sent", sent, "in", meterWindow, "queued", f.admitter.Queued(), "running", f.admitter.InFlight())
-	}
-}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -68,21 +68,27 @@
 	delete(x.tried, node)
 }
 
-// hasEndpointInZone reports whether the service has an endpoint in this node's zone that may take the call.
+// hasEndpointInZone reports whether the service has an endpoint in this node's zone that accepts the call.
 func (x *exchange) hasEndpointInZone() bool {
 	now := time.Now()
 	sameZone := func(e *balancer.Endpoint) bool {
-		return e.Zone == x.forwarder.common.Settings.Zone && !x.forwarder.isDraining(e) && x.admitsInTime(e, now)
+		return e.Zone == x.forwarder.common.Settings.Zone && x.accepts(e, now)
 	}
 	return x.snapshot.Services[x.service].HasEndpoint(sameZone)
 }
 
 // mayTry reports whether an endpoint that the call has not tried may still take it.
 func (x *exchange) mayTry(e *balancer.Endpoint, now time.Time) bool {
-	return !x.tried[e.Node] && !x.forwarder.isDraining(e) && x.admitsInTime(e, now)
+	return !x.tried[e.Node] && x.accepts(e, now)
 }
 
-// admitsInTime reports whether an endpoint's rate limit lets the call start in time, as far as this node knows.
+// accepts reports whether an endpoint's upstream accepts the call, as far as this node knows: it is not draining, and its
+// rate limit lets the call start in time.
+func (x *exchange) accepts(e *balancer.Endpoint, now time.Time) bool {
+	return !x.forwarder.isDraining(e) && x.admitsInTime(e, now)
+}
+
+// admitsInTime reports whether an endpoint's rate limit lets the call start in time.
 func (x *exchange) admitsInTime(e *balancer.Endpoint, now time.Time) bool {
 	delay := x.forwarder.rateDelay(e, now)
 	if delay <= 0 {
--- a/internal/forwarder/peercondition.go
+++ b/internal/forwarder/peercondition.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"strconv"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/admitter"
@@ -25,55 +24,28 @@
 	confirmedAt time.Time
 }
 
-// parseCondition reads a condition from the header of a message of another node. It returns false if the message has
-// none. A rate limit that can't be read is taken for none, since only other versions of this system could send it.
-func parseCondition(m *message) (upstream uint64, c UpstreamCondition, ok bool) {
-	text := m.get(headerUpstream)
-	if text == "" {
-		return 0, c, false
-	}
-	upstream, err := strconv.ParseUint(text, 16, 64)
-	if err != nil {
-		return 0, c, false
-	}
-	if limit, err := strconv.ParseFloat(m.get(headerRateLimit), 64); err == nil && limit >= 0 {
-		c.Limited, c.RateLimit = true, limit
-	}
-	c.Draining = m.get(headerDraining) == valueDraining
-	return upstream, c, true
-}
-
-// writeCondition writes the header fields that parseCondition reads.
-func writeCondition(b *bytes.Buffer, upstream uint64, c UpstreamCondition) {
-	writeField(b, headerUpstream, strconv.FormatUint(upstream, 16))
-	if c.Limited {
-		writeField(b, headerRateLimit, strconv.FormatFloat(c.RateLimit, 'g', -1, 64))
-	}
-	if c.Draining {
-		writeField(b, headerDraining, valueDraining)
-	}
-}
-
 // writePeerCondition writes what this node remembers about the upstream beside another node into a request to it.
 func (f *Forwarder) writePeerCondition(b *bytes.Buffer, node string) {
 	if c, ok := f.peerConditions[node]; ok {
-		writeCondition(b, c.upstream, c.UpstreamCondition)
+		conditionReport{UpstreamCondition: c.UpstreamCondition, upstream: c.upstream}.write(b)
 	}
 }
 
-// adoptCondition applies what another node remembers about the local upstream, unless that has stated its condition to
-// this process. Of several rate limits the lowest applies.
-func (f *Forwarder) adoptCondition(m *message) {
+// adoptCondition applies what the sending node remembers about the local upstream, unless that has stated its condition
+// to this process. Of several rate limits the lowest applies.
+func (x *exchange) adoptCondition() {
+	f := x.forwarder
 	l := &f.local.condition
-	upstream, c, ok := parseCondition(m)
-	if !ok || l.stated || f.local.upstream == nil || f.local.upstream.Incarnation().Key() != upstream {
+	r, ok := x.readConditionReport(x.request.message)
+	if !ok || l.stated || f.local.upstream == nil || f.local.upstream.Incarnation().Key() != r.upstream {
 		return
 	}
-	if l.Limited && (!c.Limited || l.RateLimit < c.RateLimit) {
-		c.Limited, c.RateLimit = true, l.RateLimit
+	next := r.UpstreamCondition
+	if l.Limited && (!next.Limited || l.RateLimit < next.RateLimit) {
+		next.Limited, next.RateLimit = true, l.RateLimit
 	}
-	c.Draining = c.Draining || l.Draining
-	f.setCondition(c, time.Now())
+	next.Draining = next.Draining || l.Draining
+	f.setCondition(next, time.Now())
 }
 
 // writeLocalCondition writes the local upstream's condition into the response to another node. A condition without
@@ -84,32 +56,27 @@
 	if l.UpstreamCondition == (UpstreamCondition{}) && (!l.stated || x.request.message.get(headerUpstream) == "") {
 		return
 	}
-	writeCondition(b, l.incarnation.Key(), l.UpstreamCondition)
-	if l.Limited {
-		writeField(b, headerRateDelay, strconv.FormatInt(f.admitter.RateDelay(now).Milliseconds(), 10))
-	}
+	conditionReport{UpstreamCondition: l.UpstreamCondition, upstream: l.incarnation.Key(),
+		rateDelay: f.admitter.RateDelay(now)}.write(b)
 }
 
 // observePeerCondition remembers the condition that another node reports in a response.
 func (a *attempt) observePeerCondition(m *message) {
 	f, node := a.exchange.forwarder, a.endpoint.Node
-	upstream, next, ok := parseCondition(m)
+	r, ok := a.exchange.readConditionReport(m)
 	if !ok {
 		if m.get(headerRun) == runNo {
 			f.revertPeerCall(a.endpoint)
 		}
 		return
 	}
-	if next == (UpstreamCondition{}) {
+	if r.UpstreamCondition == (UpstreamCondition{}) {
 		delete(f.peerConditions, node)
 		return
 	}
 	now := time.Now()
-	c := &peerCondition{UpstreamCondition: next, upstream: upstream, confirmedAt: now}
-	if delay, err := strconv.ParseInt(m.get(headerRateDelay), 10, 64); err == nil {
-		c.nextCall = now.Add(time.Duration(delay) * time.Millisecond)
-	}
-	f.peerConditions[node] = c
+	f.peerConditions[node] = &peerCondition{UpstreamCondition: r.UpstreamCondition, upstream: r.upstream,
+		nextCall: now.Add(r.rateDelay), confirmedAt: now}
 }
 
 // conditionOf returns what this node remembers about an endpoint's upstream, or nil.
--- a/internal/forwarder/start.go
+++ b/internal/forwarder/start.go
@@ -166,7 +166,7 @@
 	m := x.request.message
 	x.operation = m.get(headerOperation)
 	x.id, _ = strconv.ParseUint(m.get(headerID), 16, 64)
-	x.forwarder.adoptCondition(m)
+	x.adoptCondition()
 	left, _ := parseMillis(m, headerTimeLeft)
 	deadline := x.startedAt.Add(left - x.forwarder.transit.excessDelay(m, x.startedAt))
 	switch x.operation {
