Tests of rate limits and draining single out each mechanism

Change: eight entry nodes over ten restarts; calls that get no response, so that only the entry node can tell the limit; entry nodes must not send what they know to be refused; announcements that still say ready; bounds on waiting. No check was taken out.

--- a/internal/forwarder/condition_test.go
+++ b/internal/forwarder/condition_test.go
@@ -37,7 +37,9 @@
 	// limit and draining hold the values of the header fields; empty ones are left out.
 	limit    atomic.Value
 	draining atomic.Value
-	mu       sync.Mutex
+	// hold, if it is not nil, keeps calls from being answered until it is closed.
+	hold chan struct{}
+	mu   sync.Mutex
 	// arrivals holds when calls arrived.
 	arrivals []time.Time
 }
@@ -54,8 +56,12 @@
 func (u *statingUpstream) serve(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
 	u.arrivals = append(u.arrivals, time.Now())
+	hold := u.hold
 	u.mu.Unlock()
 	time.Sleep(5 * time.Millisecond)
+	if hold != nil {
+		<-hold
+	}
 	for key, value := range map[string]string{headerLimit: u.limit.Load().(string), headerDraining: u.draining.Load().(string),
 		"X-Id": r.Header.Get("X-Id"), "X-Seal": "s"} {
 		if value != "" {
@@ -86,6 +92,15 @@
 	return most, len(u.arrivals)
 }
 
+// holdCalls keeps the calls that arrive from now on from being answered until the test ends.
+func (u *statingUpstream) holdCalls(t *testing.T) {
+	t.Helper()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.hold = make(chan struct{})
+	t.Cleanup(sync.OnceFunc(func() { close(u.hold) }))
+}
+
 func (u *statingUpstream) forgetArrivals() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -160,27 +175,34 @@
 	qt.Assert(t, float64(all) > 0.8*testLimit*length.Seconds(), qt.IsTrue, qt.Commentf("only %d calls in %v", all, length))
 }
 
-// TestRateLimitIsLostWithTheNode restarts the node beside a limited upstream several times within one window. The entry
-// node knows the limit throughout.
+// TestRateLimitIsLostWithTheNode restarts the node beside a limited upstream several times within one window. All entry
+// nodes know the limit throughout.
 func TestRateLimitIsLostWithTheNode(t *testing.T) {
 	u := newStatingUpstream(t)
 	u.limit.Store(strconv.Itoa(testLimit))
-	entry := newNodeWith(t, "entry", statingDialect())
+	var entries []*testNode
+	for i := range 8 {
+		entries = append(entries, newNodeWith(t, fmt.Sprintf("entry-%d", i), statingDialect()))
+	}
 	local := u.incarnation(1)
 	restart := func() {
 		sidecar := newNodeWith(t, "sidecar", statingDialect())
 		endpoints := []*balancer.Endpoint{describe(sidecar.endpoint("v1"), local)}
 		sidecar.publish(snapshotConfig{endpoints: endpoints, local: local})
-		entry.publish(snapshotConfig{endpoints: endpoints})
+		for _, n := range entries {
+			n.publish(snapshotConfig{endpoints: endpoints})
+		}
 	}
 	restart()
-	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
+	for _, n := range entries {
+		qt.Assert(t, sendGet(n).status, qt.Equals, 200)
+	}
 	u.forgetArrivals()
 	for range 10 {
 		restart()
 		var wait sync.WaitGroup
-		for range 20 {
-			wait.Go(func() { sendGet(entry, "X-Time-Left", "200") })
+		for i := range 24 {
+			wait.Go(func() { sendGet(entries[i%len(entries)], "X-Time-Left", "200") })
 		}
 		wait.Wait()
 	}
@@ -208,15 +230,16 @@
 // TestCallBeyondAllRateLimitsIsHeld: a call that no upstream can take in time is refused at once, as not run, and the
 // caller is told to come back when the rate limit allows a call.
 func TestCallBeyondAllRateLimitsIsHeld(t *testing.T) {
-	entry, _, u := limitedPair(t)
+	entry, sidecar, u := limitedPair(t)
 	var wait sync.WaitGroup
 	for range 4 {
 		wait.Go(func() { sendGet(entry, "X-Time-Left", "800") })
 	}
 	eventually(t, "the burst is used up", func() bool { _, all := u.mostIn(limitWindow); return all > 0 })
-	before := time.Now()
+	before, relayed := time.Now(), sidecar.Stats().Relayed.Load()
 	r := sendGet(entry, "X-Time-Left", "100")
 	qt.Assert(t, time.Since(before) < 80*time.Millisecond, qt.IsTrue)
+	qt.Assert(t, sidecar.Stats().Relayed.Load(), qt.Equals, relayed)
 	qt.Assert(t, r.status, qt.Equals, 503)
 	qt.Assert(t, r.run, qt.Equals, "no")
 	qt.Assert(t, r.refusal, qt.Equals, "rate-limited")
@@ -262,7 +285,9 @@
 	for range 5 {
 		qt.Assert(t, sendGet(entry, "X-Time-Left", "1000").refusal, qt.Equals, "leaving")
 	}
+	// The call gets no response, so only the entry node can tell the limit.
+	u.holdCalls(t)
 	restarted.publish(snapshotConfig{endpoints: endpoints, local: u.incarnation(1)})
-	sendGet(entry, "X-Time-Left", "1000")
-	qt.Assert(t, restarted.Stats().RateLimit(), qt.Equals, float64(testLimit))
+	go sendGet(entry, "X-Time-Left", "1000")
+	eventually(t, "the restarted node knows the limit", func() bool { return restarted.Stats().RateLimit() == testLimit })
 }
--- a/internal/forwarder/statesdraining_test.go
+++ b/internal/forwarder/statesdraining_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -20,12 +21,21 @@
 	entry.publish(snapshotConfig{endpoints: endpoints})
 	sidecar.publish(snapshotConfig{endpoints: endpoints, local: local})
 	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
-	qt.Assert(t, <-sidecar.drains, qt.Equals, local.Incarnation())
+	select {
+	case i := <-sidecar.drains:
+		qt.Assert(t, i, qt.Equals, local.Incarnation())
+	case <-time.After(5 * time.Second):
+		t.Fatal("the upstream was not reported as draining")
+	}
+	// The upstream's announcement may still say that it is ready.
+	sidecar.publish(snapshotConfig{endpoints: endpoints, local: local})
+	relayed := sidecar.Stats().Relayed.Load()
 	for _, n := range []*testNode{entry, sidecar} {
 		r := sendGet(n)
 		qt.Assert(t, r.status, qt.Equals, 503)
 		qt.Assert(t, r.run, qt.Equals, "no")
 	}
+	qt.Assert(t, sidecar.Stats().Relayed.Load(), qt.Equals, relayed)
 	restarted := newNodeWith(t, "sidecar", statingDialect())
 	endpoints = []*balancer.Endpoint{describe(restarted.endpoint("v1"), local)}
 	restarted.publish(snapshotConfig{endpoints: endpoints, local: local})
@@ -53,9 +63,11 @@
 		go func() { replies <- sendGet(n) }()
 	}
 	eventually(t, "both calls have entered", func() bool { return n.Stats().Entered.Load() == 2 })
+	before := time.Now()
 	close(release)
 	statuses := []int{(<-replies).status, (<-replies).status}
 	qt.Assert(t, statuses, qt.ContentEquals, []int{200, 503})
+	qt.Assert(t, time.Since(before) < 5*time.Second, qt.IsTrue)
 	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
 }
 
@@ -77,3 +89,22 @@
 	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
 	qt.Assert(t, sendGet(sidecar).status, qt.Equals, 200)
 }
+
+// TestRestartedNodeForgetsDraining restarts the node beside an upstream that has stated that it is draining. A call of an
+// entry node that takes the endpoint's upstream for another one tells it.
+func TestRestartedNodeForgetsDraining(t *testing.T) {
+	u := newStatingUpstream(t)
+	u.draining.Store("1")
+	entry, sidecar := newNodeWith(t, "entry", statingDialect()), newNodeWith(t, "sidecar", statingDialect())
+	local := u.incarnation(1)
+	publish := func(n *testNode) {
+		endpoints := []*balancer.Endpoint{n.endpoint("v1")}
+		n.publish(snapshotConfig{endpoints: endpoints, local: local})
+		entry.publish(snapshotConfig{endpoints: endpoints})
+	}
+	publish(sidecar)
+	qt.Assert(t, sendGet(entry).status, qt.Equals, 200)
+	publish(newNodeWith(t, "sidecar", statingDialect()))
+	qt.Assert(t, sendGet(entry).refusal, qt.Equals, "leaving")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+}
