Test calls that wait for a rate limit while nothing else happens

Cause: the mutation trial's last one: without the timer being set again, all tests passed, since each new call set it.

Result: without it, TestCallsWaitingForTheRateLimitAreForgotten fails; with it, it passes.

--- a/internal/forwarder/condition_test.go
+++ b/internal/forwarder/condition_test.go
@@ -249,6 +249,20 @@
 	wait.Wait()
 }
 
+// TestCallsWaitingForTheRateLimitAreForgotten queues calls at once; nothing else happens while they wait.
+func TestCallsWaitingForTheRateLimitAreForgotten(t *testing.T) {
+	_, sidecar, _ := limitedPair(t)
+	var wait sync.WaitGroup
+	replies := make([]reply, 4)
+	for i := range replies {
+		wait.Go(func() { replies[i] = sendGet(sidecar, "X-Time-Left", "3000") })
+	}
+	before := time.Now()
+	wait.Wait()
+	qt.Assert(t, countStatus(replies, 200), qt.Equals, len(replies))
+	qt.Assert(t, time.Since(before) < 2*time.Second, qt.IsTrue)
+}
+
 // TestRateLimitOutlivesItsStatement ends and changes the limit: each response replaces it.
 func TestRateLimitOutlivesItsStatement(t *testing.T) {
 	entry, sidecar, u := limitedPair(t)
