--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -119,7 +119,8 @@
 	}
 }
 
-// reportDraining withdraws an incarnation of the local upstream that has stated that it is draining.
+// reportDraining withdraws an incarnation of the local upstream that has stated that it is draining. The controller has
+// started by then, since the forwarder knows an upstream only from its snapshots.
 func (p *nodeProcess) reportDraining(i balancer.Incarnation) {
 	k := p.controller.Load()
 	if k == nil {
