Forwarder: an incomplete failure response is no fallback

Cause: a failure became the call's fallback with its head, and the fallback was sent with the length of what had been read. Only a lost connection cleared an incomplete one; the timeout cancelled the attempt and sent it.

Change: the failure response belongs to the attempt and becomes the fallback in onResponseEnd. Every other end of an attempt (timeout, cancel, lost connection) leaves none, so no path has to clear it. A second, incomplete failure no longer displaces a complete one. The invariant response-complete checks responses that get a length of their own.

Ruled out: clearing the fallback in timeOut as well, as onAttemptLost did. It would leave the same fault to the next way out.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -29,6 +29,8 @@
 	NotRunAccurate Invariant = "not-run-true"
 	// SingleResponse: a call gets at most one answer.
 	SingleResponse Invariant = "one-answer"
+	// ResponseComplete: a response gets a length of its own only once its whole body has been read.
+	ResponseComplete Invariant = "response-complete"
 	// NoCallToDraining: no call is sent to an upstream that is draining.
 	NoCallToDraining Invariant = "no-work-to-leaving"
 	// RateLimitKept: an upstream that states a rate limit does not get far more calls than that.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -78,6 +78,9 @@
 	lastProgressAt time.Time
 	// suppressed is the head of a response that is read but not forwarded.
 	suppressed *message
+	// failure is the suppressed response while it is read, if it is a failure of the upstream itself. It becomes the
+	// call's fallback only once it is complete: a cancelled or lost attempt leaves none.
+	failure *bufferedResponse
 	// responseClass is the meaning of the local upstream's response.
 	responseClass responseClass
 	// reservedBytes is the expected length of the local upstream's response, which is reserved on the link.
@@ -243,7 +246,7 @@
 	}
 	a.received += int64(len(data))
 	if a.suppressed != nil {
-		x.bufferFallback(a, data)
+		a.bufferFailure(data)
 		return
 	}
 	x.lastByteAt = time.Now()
--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -1,5 +1,11 @@
 package forwarder
 
+import (
+	"net/http"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+)
+
 // maxBufferedResponseBytes is the longest response body that is buffered before any of it is sent to the caller. If
 // the connection is lost before a buffered response is complete, another upstream's response can replace it. Longer
 // responses are streamed.
@@ -7,8 +13,10 @@
 
 // bufferedResponse is a response that is being buffered.
 type bufferedResponse struct {
-	message  *message
-	body     []byte
+	message *message
+	// body is what has been read of the body so far.
+	body []byte
+	// fromPeer reports whether the response comes from another node.
 	fromPeer bool
 }
 
@@ -42,29 +50,40 @@
 	}
 }
 
-// sendBuffered sends the buffered response, which is complete, with its length instead of chunks.
+// sendBuffered sends the buffered response, which must be complete, with its length instead of chunks.
 func (x *exchange) sendBuffered() {
-	if !bodyless(x.buffered.message.status) && x.request.message.method != "HEAD" {
-		x.buffered.message.length = int64(len(x.buffered.body))
-		x.buffered.message.chunked = false
+	r := x.buffered
+	if !bodyless(r.message.status) && x.request.message.method != http.MethodHead {
+		length := int64(len(r.body))
+		x.forwarder.common.Checker.Assert(r.message.length < 0 || r.message.length == length, checker.ResponseComplete,
+			"response to call %x buffered with %d of %d bytes", x.id, length, r.message.length)
+		r.message.length = length
+		r.message.chunked = false
 	}
 	x.flushBuffered()
 }
 
-// bufferFallback appends a part of the body to the fallback if it belongs to it. A fallback that is too long is
-// dropped.
-func (x *exchange) bufferFallback(a *attempt, data []byte) {
-	r := x.fallback
-	if r == nil || r.message != a.suppressed {
+// bufferFailure appends a part of the body to the failure response that may become the call's fallback. A failure
+// response that is too long is dropped.
+func (a *attempt) bufferFailure(data []byte) {
+	r := a.failure
+	if r == nil {
 		return
 	}
 	if len(r.body)+len(data) > maxBufferedResponseBytes {
-		x.fallback = nil
+		a.failure = nil
 		return
 	}
 	r.body = append(r.body, data...)
 }
 
+// keepFailure makes the attempt's failure response, which has been read completely, the call's fallback.
+func (a *attempt) keepFailure() {
+	if a.failure != nil {
+		a.exchange.fallback = a.failure
+	}
+}
+
 // sendFallback sends an upstream's failure response to the caller, since no other upstream has taken the call.
 func (x *exchange) sendFallback() {
 	x.buffered = x.fallback
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -173,7 +173,7 @@
 	if x.suppresses(a, m) {
 		a.suppressed = m
 		if m.status == http.StatusInternalServerError && m.get(headerRun) == "" && a.responseClass == responseValid {
-			x.fallback = &bufferedResponse{message: m, fromPeer: !a.local()}
+			a.failure = &bufferedResponse{message: m, fromPeer: !a.local()}
 		}
 		return
 	}
@@ -232,6 +232,7 @@
 		x.onReserveEnd(a)
 		return
 	}
+	a.keepFailure()
 	if a.local() {
 		x.forwarder.local.lastResponseAt = now
 		x.forwarder.recordServiceTime(x.route.Name, now.Sub(a.began), now)
@@ -293,9 +294,6 @@
 		x.attempt = nil
 	}
 	x.buffered = nil
-	if x.fallback != nil && x.fallback.message == a.suppressed {
-		x.fallback = nil
-	}
 	switch a.kind {
 	case kindClaim:
 		a.finish()
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -102,7 +102,8 @@
 	chargedArrivals int
 	// buffered is a response that is buffered before it is sent to the caller.
 	buffered *bufferedResponse
-	// fallback is a failure response of an upstream that is sent to the caller if no other upstream takes the call.
+	// fallback is a complete failure response of an upstream. It is sent to the caller if no other upstream takes the
+	// call.
 	fallback *bufferedResponse
 	// lastNode is the node that the call was last offered to, and lastZone that node's availability zone.
 	lastNode string
