Forwarder: reset HTTP/1.0 callers whose response is incomplete

An HTTP/1.0 caller gets a response without a known length up to the end of its connection. When the upstream broke off, the connection was closed with FIN, which is how such a response ends when it is complete.

Change: while such a response is sent, the socket is set to reset on close, so that an abort, and the end of the process as well, are seen as errors. It is set back before the close that follows the last byte.

Test: TestTruncatedResponseResetsHTTP10Caller failed before ("got nil value": the caller read "hello" and a normal end); TestCompleteResponseReachesHTTP10Caller holds that 4 MB arrive whole. The other closes of callers' connections were read: responses with a length or chunks show by themselves that they are incomplete.

--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -57,6 +57,9 @@
 	drainPending atomic.Bool
 	// closing is set if the connection is to be closed once pending is zero.
 	closing atomic.Bool
+	// resetOnClose is set while a response is sent whose end is the end of the connection. Every close before that, also
+	// by the end of the process, then resets the connection, so that the response does not look complete.
+	resetOnClose bool
 }
 
 // newConn wraps a socket that the poller has registered. With client set, its input is parsed as responses.
@@ -120,14 +123,35 @@
 func (n *conn) lockAndClose() {
 	n.forwarder.mu.Lock()
 	defer n.forwarder.mu.Unlock()
-	n.closeWith(nil)
+	n.closeDrained()
 }
 
 // closeWhenDrained closes the connection once all output is sent; only then is the handler notified.
 func (n *conn) closeWhenDrained() {
 	n.closing.Store(true)
 	if n.pending.Load() == 0 {
-		n.closeWith(nil)
+		n.closeDrained()
+	}
+}
+
+// closeDrained closes the connection normally after all of its output has been sent.
+func (n *conn) closeDrained() {
+	n.setResetOnClose(false)
+	n.closeWith(nil)
+}
+
+// setResetOnClose sets whether closing the connection resets it.
+func (n *conn) setResetOnClose(reset bool) {
+	if n.closed || n.resetOnClose == reset {
+		return
+	}
+	n.resetOnClose = reset
+	linger := int32(0)
+	if reset {
+		linger = 1
+	}
+	if err := n.socket.SetLinger(linger, 0); err != nil {
+		n.forwarder.common.Logger.Warn("close mode of a connection not set", "reset", reset, "error", err)
 	}
 }
 
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -72,6 +72,7 @@
 	if x.chunkedResponse && x.request.message.proto == "HTTP/1.0" {
 		x.chunkedResponse = false
 		x.closeAfter = true
+		x.caller.conn.setResetOnClose(true)
 	}
 	writeLength(b, length, x.chunkedResponse)
 	if x.closeAfter {
