Forwarder: a draining node refuses calls that may outlast it, and closes kept connections

Cause: closeAfter was decided when a call started, so calls in progress when the drain began kept their connections; and a call whose deadline was later than the node's end had its deadline cut, however late it came.

Change: the last response on a connection of a draining node closes it, decided in writeFraming; a response with requests read behind it does not, since these would be abandoned. A draining node refuses calls whose deadline is later than leaveDeadline with node-leaving (503, not run, shortest Retry-After): calls of callers, calls of other nodes to its upstream, and new idempotency keys.

Tests, failing before: TestDrainingNodeRefusesCallsItCannotFinish (504 for 503), TestResponseWhileDrainingClosesConnection and TestPipelinedCallsAreAnsweredWhileDraining (no close), TestDrainingNodeRefusesCallsOfOtherNodes ("first" for "second"), TestDrainingNodeRefusesNewKeys (200 for the refusal).

Ruled out: refusing from SIGTERM on. With timeouts near the grace time, a node would refuse nearly all calls while its callers still learn that it leaves.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -67,7 +67,8 @@
 	headSent bool
 	// chunkedResponse reports whether the response's body is sent to the caller in chunks.
 	chunkedResponse bool
-	// closeAfter reports whether the caller's connection is closed after the response.
+	// closeAfter reports whether the caller's connection is closed after the response. On a draining node, this is decided
+	// when the response's head is sent: the last response on the connection closes it.
 	closeAfter bool
 	// lastByteAt is when a part of either body was last transferred.
 	lastByteAt time.Time
--- a/internal/forwarder/keys.go
+++ b/internal/forwarder/keys.go
@@ -96,6 +96,9 @@
 		x.respondToRepeat(e)
 		return
 	}
+	if x.refusedByDrainingNode() {
+		return
+	}
 	x.keyEntry = f.keys.start(x.scopedKey(), time.Now().Add(keyLifetime))
 	if x.keyEntry == nil {
 		x.refuse(503, "too-many-keys", runNo)
--- a/internal/forwarder/leaving_test.go
+++ b/internal/forwarder/leaving_test.go
@@ -1,7 +1,12 @@
 package forwarder_test
 
 import (
+	"bufio"
+	"cmp"
+	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -26,3 +31,159 @@
 	qt.Assert(t, time.Since(began) < drainTimeout, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
 	qt.Assert(t, r.run, qt.Equals, "unknown")
 }
+
+// drainingNode is an entry node that drains, with a connection that a caller has kept open since before.
+type drainingNode struct {
+	*testNode
+	upstream   *upstreamServer
+	connection net.Conn
+	reader     *bufio.Reader
+}
+
+// drainTime is the drain timeout of nodes started by startDraining.
+const drainTime = 1500 * time.Millisecond
+
+// startDraining starts a node whose calls take as many milliseconds as their parameter ms states, and opens a connection to
+// it. The calls of first, if it is not empty, are in progress when the node begins to drain.
+func startDraining(t *testing.T, timeoutMs uint32, first string) *drainingNode {
+	t.Helper()
+	n := newNode(t, "entry")
+	n.common.Settings.DrainTimeout = drainTime
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		ms, _ := strconv.Atoi(r.URL.Query().Get("ms"))
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	snapshot := snapshotConfig{endpoints: n.endpoints("v1"), local: u.local("v1"), timeoutMs: timeoutMs}
+	n.publish(snapshot)
+	callers, _ := n.Addresses()
+	c, err := net.Dial("tcp", callers)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = c.Close() })
+	qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	d := &drainingNode{testNode: n, upstream: u, connection: c, reader: bufio.NewReader(c)}
+	d.send(t, cmp.Or(first, get("/get/warm")))
+	eventually(t, "the first call runs", func() bool { return u.runs.Load() > 0 })
+	if first == "" {
+		d.receive(t)
+	}
+	snapshot.leaving = true
+	n.publish(snapshot)
+	n.startDrain(t)
+	return d
+}
+
+// startDrain makes the node drain and waits until it has closed its listeners.
+func (n *testNode) startDrain(t *testing.T) {
+	t.Helper()
+	go n.Drain(n.common.Settings.DrainTimeout)
+	callers, _ := n.Addresses()
+	eventually(t, "the node drains", func() bool {
+		probe, err := net.Dial("tcp", callers)
+		if err == nil {
+			_ = probe.Close()
+		}
+		return err != nil
+	})
+}
+
+func (d *drainingNode) send(t *testing.T, requests string) {
+	t.Helper()
+	_, err := io.WriteString(d.connection, requests)
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func (d *drainingNode) receive(t *testing.T) (response *http.Response, body string) {
+	t.Helper()
+	response, err := http.ReadResponse(d.reader, nil)
+	qt.Assert(t, err, qt.IsNil)
+	data, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return response, string(data)
+}
+
+func post(path string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\npay"
+}
+
+// TestDrainingNodeRefusesCallsItCannotFinish sends a call on a kept connection whose timeout is later than the end of the
+// node: it must be refused before it runs, since it could be broken off while the upstream processes it.
+func TestDrainingNodeRefusesCallsItCannotFinish(t *testing.T) {
+	d := startDraining(t, 5000, "")
+	d.send(t, post("/post/late?ms=2000"))
+	response, body := d.receive(t)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", body))
+	qt.Assert(t, response.Header.Get("Tamarackpitch-Run"), qt.Equals, "no")
+	qt.Assert(t, response.Close, qt.IsTrue)
+	qt.Assert(t, d.upstream.runs.Load(), qt.Equals, int64(1))
+}
+
+// TestDrainingNodeServesCallsItCanFinish sends a call on a kept connection that is over before the node ends.
+func TestDrainingNodeServesCallsItCanFinish(t *testing.T) {
+	d := startDraining(t, 500, "")
+	d.send(t, post("/post/short"))
+	response, body := d.receive(t)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+	qt.Assert(t, body, qt.Equals, "/post/short")
+	qt.Assert(t, response.Close, qt.IsTrue)
+}
+
+// TestResponseWhileDrainingClosesConnection starts a call before the node drains: its response must tell the caller that
+// the connection closes, so that the caller sends no further call on it.
+func TestResponseWhileDrainingClosesConnection(t *testing.T) {
+	d := startDraining(t, 5000, post("/post/early?ms=200"))
+	response, body := d.receive(t)
+	qt.Assert(t, body, qt.Equals, "/post/early")
+	qt.Assert(t, response.Close, qt.IsTrue)
+	_, err := d.reader.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
+
+// TestPipelinedCallsAreAnsweredWhileDraining starts several calls of one connection before the node drains: only the last
+// response may close the connection, since the calls behind it would be broken off.
+func TestPipelinedCallsAreAnsweredWhileDraining(t *testing.T) {
+	d := startDraining(t, 5000, get("/get/1?ms=200")+get("/get/2?ms=200")+get("/get/3?ms=200"))
+	for _, want := range []string{"/get/1", "/get/2", "/get/3"} {
+		response, body := d.receive(t)
+		qt.Assert(t, body, qt.Equals, want)
+		qt.Assert(t, response.Close, qt.Equals, want == "/get/3")
+	}
+}
+
+// TestDrainingNodeRefusesCallsOfOtherNodes lets another node send a call to the upstream of a node that drains and would
+// end before the call's timeout: the call must run at another upstream instead.
+func TestDrainingNodeRefusesCallsOfOtherNodes(t *testing.T) {
+	entry, first, second := newNode(t, "entry"), newNode(t, "first"), newNode(t, "second")
+	first.common.Settings.DrainTimeout = drainTime
+	firstUpstream, secondUpstream := newUpstream(t, respondWith("first")), newUpstream(t, respondWith("second"))
+	other := second.endpoint("v1")
+	// The cold start raises its cost, so that the draining node is tried first.
+	other.WarmAt = time.Now().Add(time.Hour)
+	endpoints := []*balancer.Endpoint{first.endpoint("v1"), other}
+	entry.publish(snapshotConfig{endpoints: endpoints})
+	second.publish(snapshotConfig{endpoints: endpoints, local: secondUpstream.local("v1")})
+	snapshot := snapshotConfig{endpoints: endpoints, local: firstUpstream.local("v1")}
+	first.publish(snapshot)
+	qt.Assert(t, do("POST", entry.url("/post"), "pay").body, qt.Equals, "first")
+	snapshot.leaving = true
+	first.publish(snapshot)
+	first.startDrain(t)
+	r := do("POST", entry.url("/post"), "pay")
+	qt.Assert(t, r.body, qt.Equals, "second", qt.Commentf("%+v", r))
+	qt.Assert(t, firstUpstream.runs.Load(), qt.Equals, int64(1))
+}
+
+// TestDrainingNodeRefusesNewKeys sends a call with a new idempotency key to a draining node that owns the key and would end
+// before the call's timeout: the call must be refused before it runs.
+func TestDrainingNodeRefusesNewKeys(t *testing.T) {
+	entry, owner, u := pair(t, respondWith("paid"))
+	owner.common.Settings.DrainTimeout = drainTime
+	pay := func(key string) reply { return do("POST", entry.url("/post"), "pay", "Idempotency-Key", key) }
+	qt.Assert(t, pay("early").body, qt.Equals, "paid")
+	owner.publish(snapshotConfig{endpoints: owner.endpoints("v1"), local: u.local("v1"), leaving: true})
+	owner.startDrain(t)
+	r := pay("late")
+	qt.Assert(t, r.refusal, qt.Equals, "node-leaving", qt.Commentf("%+v", r))
+	qt.Assert(t, r.run, qt.Equals, "no")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+}
--- a/internal/forwarder/pipelining.go
+++ b/internal/forwarder/pipelining.go
@@ -13,6 +13,12 @@
 	return len(queue) > 0 && queue[0] == x
 }
 
+// isLast reports whether no request has been read on the connection after the call's.
+func (x *exchange) isLast() bool {
+	queue := x.caller.queue
+	return len(queue) > 0 && queue[len(queue)-1] == x
+}
+
 // write sends bytes of the response, or keeps them in output until the call is next and, if the response is paced,
 // the link has room.
 func (x *exchange) write(b []byte) {
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -75,6 +75,7 @@
 		x.caller.conn.setResetOnClose(true)
 	}
 	writeLength(b, length, x.chunkedResponse)
+	x.closeAfter = x.closeAfter || x.forwarder.draining && x.isLast()
 	if x.closeAfter {
 		writeField(b, headerConnection, "close")
 	} else if x.request.message.proto == "HTTP/1.0" {
--- a/internal/forwarder/retryafter.go
+++ b/internal/forwarder/retryafter.go
@@ -27,6 +27,10 @@
 		left, _ = parseMillis(x.request.message, x.forwarder.config.Dialect.TimeLeft)
 	}
 	longest := min(time.Duration(maxRetryAfterShare*float64(left)), maxRetryAfter)
+	if x.forwarder.draining {
+		// Another node can take the call at once.
+		longest = 0
+	}
 	// Jitter keeps callers that were refused together from retrying together.
 	jitter := 0.5 + x.forwarder.random.Float64()/2
 	after := max(time.Duration(jitter*float64(longest)), minRetryAfter)
--- a/internal/forwarder/start.go
+++ b/internal/forwarder/start.go
@@ -12,6 +12,9 @@
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
+// reasonNodeLeaving means that the node would exit before it could answer the call.
+const reasonNodeLeaving = "node-leaving"
+
 // maxTimeLeft bounds the remaining time that a header may state.
 const maxTimeLeft = 24 * time.Hour
 
@@ -23,7 +26,6 @@
 	x.lastByteAt = x.startedAt
 	x.progressSentAt = x.startedAt
 	x.snapshot = f.snapshot.Load()
-	x.closeAfter = x.closeAfter || f.draining
 	f.calls[x] = struct{}{}
 	if x.oversized {
 		x.refuseOversized()
@@ -68,14 +70,33 @@
 	x.setDeadline(x.callerDeadline())
 	x.rank = x.snapshot.Rank(x.route.Class)
 	x.targetAt = x.callerTarget()
-	if end := f.leaveDeadline; !end.IsZero() && end.Before(x.deadline) {
-		// A call that can't be answered before this node exits is refused while its caller can still go to another
-		// node.
-		x.setDeadline(end)
+	if x.refusedByDrainingNode() {
+		return
+	}
+	if x.outlastsNode() {
+		// The caller is answered while this node can still do so.
+		x.setDeadline(f.leaveDeadline)
 	}
 	x.startRouted()
 }
 
+// outlastsNode reports whether the call's deadline is later than the time until which this node, which is leaving, can
+// answer it.
+func (x *exchange) outlastsNode() bool {
+	end := x.forwarder.leaveDeadline
+	return !end.IsZero() && end.Before(x.deadline)
+}
+
+// refusedByDrainingNode refuses a call that outlasts this node once it drains, and reports whether it did. Such a call
+// could be broken off while its upstream processes it; before it runs, another node can take it.
+func (x *exchange) refusedByDrainingNode() bool {
+	if !x.forwarder.draining || !x.outlastsNode() {
+		return false
+	}
+	x.refuse(503, reasonNodeLeaving, runNo)
+	return true
+}
+
 // startRouted continues with a call whose route is known.
 func (x *exchange) startRouted() {
 	f := x.forwarder
@@ -224,6 +245,9 @@
 		x.serveAsKeyOwner()
 		return
 	}
+	if x.refusedByDrainingNode() {
+		return
+	}
 	x.admitLocal()
 }
 
