Controller: reports follow the newest controller; a fenced one decides nothing and may take control again

Cause: a controller that the store had fenced kept the role: reporters chose the first candidate that answered, and the flag that it had set on itself made it drop every decision, and kept it from choosing a new epoch.

Change: Progress names the controller of the highest epoch, Report the epoch that its sender knows. All nodes report to that controller first. A node that knows a newer one than the sender passes the report on; else, the sender has reached none, and the node takes control above every epoch known to either. A superseded or fenced controller is inactive and keeps its evidence. A fenced one first reads who has fenced it. Writes are numbered in their epoch, and one without a known result ends the epoch; after a completion without a known result only the completion is repeated.

Test: TestFencedControllerTakesControlAgain failed on the untouched code ("not within 8s: the rollback is saved", with and without saved progress); TestReportsFollowNewestController and TestCompletionOfUnknownResultIsRepeated are new with the names that they use.

Ruled out: choosing a new epoch at once when fenced. Two nodes that each get a part of the reports would fence each other in turn.

--- a/internal/controller/appender.go
+++ b/internal/controller/appender.go
@@ -55,13 +55,15 @@
 	a.enqueue(appendJob{name: name, write: func(ctx context.Context) error { return log.Append(ctx, r) }})
 }
 
-// enqueue queues a job without blocking. If the queue is full, the job is dropped and logged; its owner enqueues it
-// again.
-func (a *appender) enqueue(j appendJob) {
+// enqueue queues a job without blocking. If the queue is full, the job is dropped and logged, and false is returned; its
+// owner enqueues it again.
+func (a *appender) enqueue(j appendJob) bool {
 	select {
 	case a.jobs <- j:
+		return true
 	default:
 		a.controller.common.Logger.Warn("log write dropped", "record", j.name, "reason", "the queue of log writes is full")
+		return false
 	}
 }
 
--- /dev/null
+++ b/internal/controller/controlledrollout_test.go
@@ -0,0 +1,133 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/tamarackpitch/tamarackpitch/pkg/reducer"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+const (
+	rolloutNodes = 4
+	// rollbackBound is the time within which a bad version must be rolled back and the outcome saved.
+	rollbackBound = 8 * time.Second
+)
+
+// versionEvidence reports calls to one version in each interval, of which a number fail.
+type versionEvidence struct {
+	version         string
+	calls, failures uint64
+}
+
+func (e versionEvidence) TakeEvidence() []*schema.Report {
+	return []*schema.Report{{Rollout: "s", DeclaredVersion: 1, Evidence: []*schema.Evidence{
+		{Route: "r", Version: e.version, Calls: e.calls, Failures: e.failures}}}}
+}
+
+// rolloutMesh is a mesh in which half of the nodes' upstreams run the new version of a rollout.
+type rolloutMesh struct {
+	*testMesh
+}
+
+// startRolloutMesh starts a mesh whose rollout to v2 is ordered as soon as all nodes know each other. prepare, if not nil,
+// is called before that.
+func startRolloutMesh(t *testing.T, duration time.Duration, failures uint64, prepare func(*testMesh)) *rolloutMesh {
+	t.Helper()
+	m := &rolloutMesh{testMesh: &testMesh{store: &fakeStore{seeds: map[string]*schema.Member{}}}}
+	for i := range rolloutNodes {
+		e := versionEvidence{version: "v1", calls: 20}
+		if i%2 == 1 {
+			e = versionEvidence{version: "v2", calls: 5, failures: failures}
+		}
+		n := startMeshNodeWith(t, m.store, fmt.Sprintf("n%d", i), "a", e)
+		_, err := n.Announce(Announcement{Service: "s", Version: e.version, Address: "127.0.0.1:1", Slots: 4})
+		qt.Assert(t, err, qt.IsNil)
+		m.nodes = append(m.nodes, n)
+	}
+	await(t, 10*time.Second, "all nodes know each other", func() bool {
+		return !slices.ContainsFunc(m.nodes, func(n *meshNode) bool { return n.Status().Members < rolloutNodes })
+	})
+	if prepare != nil {
+		prepare(m.testMesh)
+	}
+	preset := reducer.DefaultPreset([]string{"0"})
+	m.store.publish(&schema.State{Services: []*schema.Service{{Name: "s", OpenVersions: true}}, Presets: []*schema.Preset{preset},
+		ActivePreset: preset.Name, Rollouts: []*schema.Rollout{{Name: "s", Service: "s", From: "v1", To: "v2", DeclaredVersion: 1,
+			DurationMs: uint32(duration.Milliseconds()), Phase: schema.RolloutPhase_ROLLOUT_PHASE_OPEN}}})
+	return m
+}
+
+func (m *rolloutMesh) awaitRollback(t *testing.T) {
+	t.Helper()
+	await(t, rollbackBound, "the rollback is saved", func() bool { return m.store.lastProgress().GetRolledBack() })
+}
+
+// share returns the highest share of the new version on any node.
+func (m *rolloutMesh) share() float64 {
+	highest := 0.0
+	for _, n := range m.nodes {
+		if s := n.Snapshot().Services["s"]; s != nil && s.Rollout != nil {
+			highest = max(highest, s.Rollout.Share)
+		}
+	}
+	return highest
+}
+
+// TestFencedControllerTakesControlAgain lets the log refuse the controller, since another node, now gone, has taken control
+// with a higher epoch: the fenced node still gets all reports, and must take control again and roll the bad version back.
+func TestFencedControllerTakesControlAgain(t *testing.T) {
+	const newer = 3*epochRange + 7
+	saved := &schema.Progress{Rollout: "s", DeclaredVersion: 1, Epoch: newer, Controller: "gone"}
+	for name, progress := range map[string][]*schema.Progress{"progress saved": {saved}, "progress not saved": nil} {
+		t.Run(name, func(t *testing.T) {
+			m := startRolloutMesh(t, time.Minute, 4, func(m *testMesh) { m.store.epoch, m.store.progress = newer, progress })
+			m.awaitRollback(t)
+			qt.Assert(t, m.store.lastProgress().Epoch > newer, qt.IsTrue)
+		})
+	}
+}
+
+// TestReportsFollowNewestController lets a node that is no preferred controller take control: all nodes must report to it,
+// and the earlier controller must decide nothing more.
+func TestReportsFollowNewestController(t *testing.T) {
+	m := startRolloutMesh(t, time.Minute, 0, nil)
+	await(t, 10*time.Second, "the rollout has a controller", func() bool { return m.store.lastProgress() != nil })
+	first := m.store.lastProgress().Controller
+	i := slices.IndexFunc(m.nodes, func(n *meshNode) bool { return n.common.Settings.Name != first })
+	next := m.nodes[i]
+	next.do(func() { next.takeControl(next.state.Rollouts["s"], 0, time.Now()) })
+	await(t, 3*time.Second, "all nodes report to the newest controller", func() bool {
+		heard := 0
+		next.do(func() { heard = len(next.controlled["s"].heardAt) })
+		return heard == rolloutNodes
+	})
+	for _, n := range m.nodes {
+		active := false
+		n.do(func() { active = n.isActive(n.controlled["s"], n.state.Rollouts["s"]) })
+		qt.Assert(t, active, qt.Equals, n == next, qt.Commentf("node %s", n.common.Settings.Name))
+	}
+}
+
+// TestCompletionOfUnknownResultIsRepeated reports failures after the completion was written without a known result: the
+// operator may have stopped the old upstreams, so the rollout must be completed and not rolled back.
+func TestCompletionOfUnknownResultIsRepeated(t *testing.T) {
+	m := startRolloutMesh(t, time.Minute, 0, nil)
+	n := m.nodes[0]
+	await(t, 10*time.Second, "the rollout is known", func() bool { return m.share() > 0 })
+	n.do(func() {
+		c := n.takeControl(n.state.Rollouts["s"], n.progress["s"].GetEpoch(), time.Now())
+		c.completionReason = "all traffic moved"
+		for range 20 {
+			c.analysis.Observe(versionEvidence{version: "v2", calls: 20, failures: 20}.TakeEvidence()[0].Evidence,
+				time.Now().Add(-time.Second))
+		}
+		n.handleSaveResult(c, &schema.Progress{Rollout: "s", Epoch: c.epoch, Completed: true}, errUnreachable, nil)
+	})
+	await(t, rollbackBound, "the outcome is saved", func() bool { return isDecided(m.store.lastProgress()) })
+	qt.Assert(t, m.store.lastProgress().Completed, qt.IsTrue)
+}
--- a/internal/controller/fakelog_test.go
+++ b/internal/controller/fakelog_test.go
@@ -20,6 +20,20 @@
 	seeds   map[string]*schema.Member
 	// reads and writes count the calls, except to DeleteSeed.
 	reads, writes int
+	// epoch is the highest epoch of the saved progress, or one set by the test: lower ones are fenced.
+	epoch uint64
+	// progress holds the saved progress of the mesh's only rollout, in the order of the writes.
+	progress []*schema.Progress
+}
+
+// lastProgress returns the progress saved last, or nil.
+func (s *fakeStore) lastProgress() *schema.Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.progress) == 0 {
+		return nil
+	}
+	return s.progress[len(s.progress)-1]
 }
 
 // publish appends a record with a state and returns the position after it.
@@ -57,10 +71,12 @@
 	return reducer.DecodeState(m)
 }
 
-// fakeLog is one node's connection to the store. While unreachable is set, all calls but DeleteSeed fail.
+// fakeLog is one node's connection to the store. While unreachable is set, all calls but DeleteSeed fail, and while
+// refusesProgress is set, those to SaveProgress.
 type fakeLog struct {
-	store       *fakeStore
-	unreachable atomic.Bool
+	store           *fakeStore
+	unreachable     atomic.Bool
+	refusesProgress atomic.Bool
 }
 
 var errUnreachable = errors.New("the store does not answer")
@@ -98,6 +114,9 @@
 	for _, m := range l.store.seeds {
 		d.Members = append(d.Members, m)
 	}
+	if n := len(l.store.progress); n > 0 {
+		d.Progress = append(d.Progress, proto.CloneOf(l.store.progress[n-1]))
+	}
 	return d, nil
 }
 
@@ -144,6 +163,19 @@
 	return nil
 }
 
-func (l *fakeLog) SaveProgress(context.Context, *schema.Rollout, *schema.Progress) error {
-	return l.call(0, 1)
+func (l *fakeLog) SaveProgress(_ context.Context, _ *schema.Rollout, p *schema.Progress) error {
+	if err := l.call(0, 1); err != nil {
+		return err
+	}
+	if l.refusesProgress.Load() {
+		return errUnreachable
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	if p.Epoch < l.store.epoch {
+		return ErrFenced
+	}
+	l.store.epoch = p.Epoch
+	l.store.progress = append(l.store.progress, proto.CloneOf(p))
+	return nil
 }
--- a/internal/controller/mesh_test.go
+++ b/internal/controller/mesh_test.go
@@ -59,6 +59,11 @@
 }
 
 func startMeshNode(t *testing.T, store *fakeStore, name, zone string) *meshNode {
+	t.Helper()
+	return startMeshNodeWith(t, store, name, zone, noEvidence{})
+}
+
+func startMeshNodeWith(t *testing.T, store *fakeStore, name, zone string, evidence EvidenceSource) *meshNode {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -67,13 +72,13 @@
 	c := &common.Common{Logger: hclog.NewNullLogger(), Recorder: recorder.New(name, time.Now),
 		Settings: settings.Node{Name: name, Zone: zone, ControlListen: address, Readers: 1, Heartbeat: time.Second,
 			SuspectAfter: 3 * time.Second, DeadAfter: 2 * time.Second, RejoinInterval: 10 * time.Second,
-			ReportInterval: 200 * time.Millisecond, JoinSpread: 500 * time.Millisecond},
+			ReportInterval: 200 * time.Millisecond, Lease: time.Minute, JoinSpread: 500 * time.Millisecond},
 		Checker: checker.New(checker.Config{Logger: hclog.NewNullLogger(),
 			OnViolation: func(i checker.Invariant, detail string) {
 				t.Errorf("%s: %s: %s", name, i, detail)
 			}})}
 	log := &fakeLog{store: store}
-	k, err := New(Config{Common: c, Log: log, Reduce: reduceToRecord, Evidence: noEvidence{},
+	k, err := New(Config{Common: c, Log: log, Reduce: reduceToRecord, Evidence: evidence,
 		Publish: func(*router.Snapshot) {},
 		Self: &schema.Member{Node: name, Incarnation: uint64(time.Now().UnixMilli()), Zone: zone,
 			ControlAddress: address}})
--- a/internal/controller/reporter.go
+++ b/internal/controller/reporter.go
@@ -32,11 +32,39 @@
 	failedAt map[string]time.Time
 	// nextReport is when the next report is due.
 	nextReport time.Time
+	// forwarded holds reports of other nodes that are to be sent on to the controller.
+	forwarded chan *schema.Report
 }
 
+// maxForwardedReports bounds the reports that wait to be forwarded.
+const maxForwardedReports = 256
+
 func newReporter(k *Controller) *reporter {
 	return &reporter{controller: k, stop: make(chan struct{}), done: make(chan struct{}),
-		unsent: map[string]*schema.Report{}, failedAt: map[string]time.Time{}}
+		unsent: map[string]*schema.Report{}, failedAt: map[string]time.Time{},
+		forwarded: make(chan *schema.Report, maxForwardedReports)}
+}
+
+// forward passes a report of another node on with this node's next report. It may be called from any goroutine.
+func (r *reporter) forward(report *schema.Report) {
+	select {
+	case r.forwarded <- report:
+	default:
+		r.controller.common.Logger.Warn("report not forwarded", "rollout", report.Rollout, "from", report.Node,
+			"reason", "too many reports wait")
+	}
+}
+
+// mergeForwarded adds the reports of other nodes to the unsent ones.
+func (r *reporter) mergeForwarded() {
+	for {
+		select {
+		case report := <-r.forwarded:
+			r.merge(report)
+		default:
+			return
+		}
+	}
 }
 
 func (r *reporter) close() {
@@ -75,6 +103,7 @@
 	for _, report := range r.controller.config.Evidence.TakeEvidence() {
 		r.merge(report)
 	}
+	r.mergeForwarded()
 	r.addEmptyReport(snapshot)
 	for name, report := range r.unsent {
 		service := serviceOfRollout(snapshot, name)
@@ -96,8 +125,9 @@
 	unsent.Evidence = append(unsent.Evidence, report.Evidence...)
 }
 
-// addEmptyReport adds a report without evidence for the rollout of the local upstream's service if this node is one of
-// its candidates, so that the rollout has a controller even without calls.
+// addEmptyReport adds a report without evidence for the rollout of the local upstream's service. One of its candidates
+// sends it, so that the rollout has a controller even without calls, and a node beside an upstream of the new version,
+// so that the controller can tell an upstream without calls from one whose reports don't arrive.
 func (r *reporter) addEmptyReport(snapshot *router.Snapshot) {
 	if snapshot.LocalUpstream == nil {
 		return
@@ -107,7 +137,8 @@
 		return
 	}
 	isSelf := func(e *balancer.Endpoint) bool { return e.Node == snapshot.Node }
-	if !slices.ContainsFunc(controllerCandidates(service), isSelf) {
+	if snapshot.LocalUpstream.Version != service.Rollout.To &&
+		!slices.ContainsFunc(controllerCandidates(service), isSelf) {
 		return
 	}
 	r.unsent[service.Rollout.Name] = &schema.Report{
@@ -123,11 +154,12 @@
 	return nil
 }
 
-// send offers the report to the candidates in rendezvous order, so that all nodes report to the same one while it
-// answers. It reports whether one has received it.
+// send offers the report to the newest known controller, then to the candidates in rendezvous order, so that all nodes
+// report to the same one while it answers. It reports whether one has received it.
 func (r *reporter) send(s *router.Service, report *schema.Report, now time.Time) bool {
 	report.Node = r.controller.Snapshot().Node
-	for _, e := range controllerCandidates(s) {
+	report.Epoch = s.Rollout.Epoch
+	for _, e := range reportTargets(s) {
 		if now.Sub(r.failedAt[e.Node]) < candidateRetryDelay {
 			continue
 		}
@@ -146,6 +178,18 @@
 	return false
 }
 
+// reportTargets returns the nodes that a report is offered to, most preferred first: the rollout's controller, if it is
+// known and a node of the service, then the candidates.
+func reportTargets(s *router.Service) []*balancer.Endpoint {
+	candidates := controllerCandidates(s)
+	isController := func(e *balancer.Endpoint) bool { return e.Node == s.Rollout.Controller }
+	i := slices.IndexFunc(s.Nodes, isController)
+	if i < 0 {
+		return candidates
+	}
+	return append([]*balancer.Endpoint{s.Nodes[i]}, slices.DeleteFunc(candidates, isController)...)
+}
+
 // controllerCandidates returns the nodes that may control the service's rollout, most preferred first.
 func controllerCandidates(s *router.Service) []*balancer.Endpoint {
 	ranked := ranker.Rank("rollout-controller/"+s.Rollout.Name, s.Nodes,
--- a/internal/controller/snapshotcache.go
+++ b/internal/controller/snapshotcache.go
@@ -144,7 +144,8 @@
 	s := &router.Service{Name: name}
 	if r := k.activeRollout(name); r != nil {
 		s.Rollout = &router.Rollout{Name: r.Name, DeclaredVersion: r.DeclaredVersion, From: r.From, To: r.To, Share: k.share(r),
-			Decided: isDecided(k.progress[r.Name])}
+			Decided: isDecided(k.progress[r.Name]), Controller: k.progress[r.Name].GetController(),
+			Epoch: k.progress[r.Name].GetEpoch()}
 	}
 	members := k.snapshotCache.membersByService[name]
 	for _, node := range slices.Sorted(maps.Keys(members)) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,9 @@
 	Share float64
 	// Decided means that the outcome is known, so that nodes stop collecting evidence.
 	Decided bool
+	// Controller is the node that controls the rollout with the highest known epoch, Epoch. It is empty if none is known.
+	Controller string
+	Epoch      uint64
 }
 
 // Service is a service and the endpoints that serve it.
