Forwarder: a refusal counts as not run only if it echoes the request's id

Another operator's report: a faulty backend writes an earlier refusal once more on a kept connection. It could happen here with refusals that have no id: the call that was running was taken for not run, and ran at a second upstream.

Cause: classify looked for the refusal's mark before it looked for the id.

Change: a response without the id is invalid whatever it says, so the call's outcome is unknown.

Two rows of TestClassify took refusals without an id for not executed, which was the fault; they now have the id, and rows without it and with another one are added.

--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -64,7 +64,8 @@
 	responseStale
 )
 
-// classify classifies a response head of the upstream. id is the request's value of RequestID, or empty.
+// classify classifies a response head of the upstream. id is the request's value of RequestID, or empty. If there is one,
+// the response must echo it: without it, also a refusal may be that of an earlier request, sent once more.
 func (d Dialect) classify(m *message, id string) responseClass {
 	echoed := ""
 	if d.RequestID != "" {
@@ -75,10 +76,10 @@
 	}
 	success := m.status >= 200 && m.status < 300
 	switch {
-	case d.NotExecuted != "" && m.get(d.NotExecuted) != "", d.ExpectInstance != "" && m.status == http.StatusMisdirectedRequest:
-		return responseNotExecuted
 	case d.RequestID != "" && echoed == "" && id != "":
 		return responseInvalid
+	case d.NotExecuted != "" && m.get(d.NotExecuted) != "", d.ExpectInstance != "" && m.status == http.StatusMisdirectedRequest:
+		return responseNotExecuted
 	case d.Seal != "" && success && (m.get(d.Seal) == "" || m.get("Content-Encoding") != ""):
 		return responseInvalid
 	case d.NotExecuted != "" && impliesNotRun(m.status):
--- a/internal/forwarder/dialect_test.go
+++ b/internal/forwarder/dialect_test.go
@@ -26,8 +26,11 @@
 		{"success without an id", 200, []field{{"X-Seal", "s"}}, responseInvalid},
 		{"late response to another request", 200, []field{{"X-Id", "b"}, {"X-Seal", "s"}}, responseStale},
 		{"failure of the upstream", 500, []field{{"X-Id", "a"}, {"X-Seal", "s"}}, responseValid},
-		{"refusal marked as not executed", 503, []field{{"X-Not-Run", "1"}}, responseNotExecuted},
-		{"refusal by another incarnation", 421, nil, responseNotExecuted},
+		{"refusal marked as not executed", 503, []field{{"X-Id", "a"}, {"X-Not-Run", "1"}}, responseNotExecuted},
+		{"refusal by another incarnation", 421, []field{{"X-Id", "a"}}, responseNotExecuted},
+		{"refusal without an id", 503, []field{{"X-Not-Run", "1"}}, responseInvalid},
+		{"refusal by another incarnation without an id", 421, nil, responseInvalid},
+		{"refusal of another request", 503, []field{{"X-Id", "b"}, {"X-Not-Run", "1"}}, responseStale},
 		{"503 without the not-executed mark", 503, []field{{"X-Id", "a"}}, responseInvalid},
 		{"429 without the not-executed mark", 429, []field{{"X-Id", "a"}}, responseInvalid},
 	}
