Forwarder: a response head without its last line feed is no response

It could happen here when only the last byte of the head was missing, and the response had no body: the parser passes a head on at its last carriage return, and a head with a length of 0 is the whole response for the next hop. All other cuts were already taken for lost connections.

Change: the reader holds a carriage return back at the end of the input until more follows, unless the head is already complete. The parser's callbacks have a file of their own.

Test: TestTruncatedHeadsAreNoResponses, on real connections at each byte of six heads, failed before for "bodyless" and "empty body" (204 and 200 without the last byte); TestTruncatedHeadsOfNodesAreNoResponses and TestTruncatedHeadAfterResponse held before.

--- a/internal/forwarder/reader.go
+++ b/internal/forwarder/reader.go
@@ -1,9 +1,6 @@
 package forwarder
 
 import (
-	"net"
-	"strings"
-
 	"github.com/lesismal/nbio/nbhttp"
 )
 
@@ -60,6 +57,8 @@
 	chunks *chunkDecoder
 	// leftover is the input after the head that Parse has taken from the parser.
 	leftover []byte
+	// heldCR is set if a carriage return at the end of the input has been held back. See feed.
+	heldCR bool
 }
 
 func newReader(handler messageHandler, client bool) *reader {
@@ -78,8 +77,29 @@
 	r.leftover = nil
 }
 
-// feed parses bytes read from the connection.
+// feed parses bytes read from the connection. The parser passes a head on at its last carriage return. A carriage return
+// at the end of the input is therefore held back until more follows, so that a head without its last line feed, which is
+// truncated, is not taken for a complete one.
 func (r *reader) feed(data []byte) error {
+	if r.heldCR {
+		r.heldCR = false
+		data = append([]byte{'\r'}, data...)
+	}
+	if n := len(data) - 1; n >= 0 && data[n] == '\r' {
+		if err := r.feedParts(data[:n]); err != nil {
+			return err
+		}
+		if r.message != nil && !r.inBody {
+			r.heldCR = true
+			return nil
+		}
+		data = data[n:]
+	}
+	return r.feedParts(data)
+}
+
+// feedParts parses input, the parts of which the parser and the reader itself decode.
+func (r *reader) feedParts(data []byte) error {
 	for {
 		if r.rawBody {
 			n, err := r.feedRaw(data)
@@ -179,165 +199,3 @@
 	}
 	return r.message == nil && !r.inBody
 }
-
-// The methods below implement nbhttp.Processor and nbhttp.ParserCloser.
-
-// OnMethod starts a request: the method is its first part.
-func (r *reader) OnMethod(_ *nbhttp.Parser, method string) {
-	r.startMessage().method = method
-}
-
-func (r *reader) startMessage() *message {
-	bytes := 0
-	if r.message != nil {
-		bytes = r.message.receivedBytes
-	}
-	r.message = &message{length: -1, receivedBytes: bytes, header: make([]field, 0, 12)}
-	return r.message
-}
-
-// OnURL sets the request target.
-func (r *reader) OnURL(_ *nbhttp.Parser, uri string) error {
-	r.message.uri = uri
-	return nil
-}
-
-// OnProto sets the protocol version. It starts a response, of which the version is the first part.
-func (r *reader) OnProto(_ *nbhttp.Parser, proto string) error {
-	if r.client {
-		r.startMessage()
-	}
-	if proto != "HTTP/1.1" && proto != "HTTP/1.0" {
-		return &Error{Operation: "parse", Kind: KindMalformed, Detail: "protocol " + proto}
-	}
-	r.message.proto = proto
-	return nil
-}
-
-// OnStatus sets the status code and reason phrase of a response.
-func (r *reader) OnStatus(_ *nbhttp.Parser, code int, status string) {
-	if strings.Contains(status, ": ") {
-		// If the reason phrase is missing, the parser mistakes the first header line for it.
-		r.fail(KindMalformed, "status line without a reason phrase")
-	}
-	r.message.status = code
-	r.message.reason = status
-}
-
-// OnHeader adds a header field.
-func (r *reader) OnHeader(_ *nbhttp.Parser, key, value string) {
-	r.message.fieldBytes += len(key) + len(value)
-	if r.message.fieldBytes > maxHeaderBytes {
-		r.fail(KindTooLarge, "header")
-		return
-	}
-	if strings.ContainsAny(value, "\x00\r\n") {
-		r.fail(KindMalformed, "control byte in a header value")
-		return
-	}
-	if len(r.message.header) >= maxHeaderLines {
-		r.fail(KindTooLarge, "too many header lines")
-		return
-	}
-	switch key {
-	case headerContentLength:
-		if r.message.hasLength && r.message.get(headerContentLength) != value {
-			r.fail(KindMalformed, "conflicting Content-Length lines")
-		}
-		r.message.hasLength = true
-	case headerTransferEncoding:
-		r.message.chunked = true
-	}
-	r.message.header = append(r.message.header, field{key: key, value: strings.TrimRight(value, " \t")})
-}
-
-func (r *reader) fail(kind Kind, detail string) {
-	if r.err == nil {
-		r.err = &Error{Operation: "parse", Kind: kind, Detail: detail}
-	}
-}
-
-// OnContentLength is called at the end of a head. The length is negative if the head has none.
-func (r *reader) OnContentLength(p *nbhttp.Parser, length int) {
-	m := r.message
-	if m.chunked && m.hasLength {
-		r.fail(KindMalformed, "both Content-Length and Transfer-Encoding")
-	}
-	if r.err != nil {
-		return
-	}
-	m.length = int64(length)
-	if !m.chunked && length < 0 && !r.client {
-		m.length = 0
-	}
-	if bypass, length := r.rawBodyLength(m); bypass {
-		r.bypassed = true
-		r.remaining = length
-		if m.chunked && length == lengthChunked {
-			r.chunks = &chunkDecoder{}
-		}
-		p.ParserCloser = r
-	}
-	r.inBody = true
-	if r.err = r.handler.onHead(m); r.err != nil {
-		r.bypassed = false
-	}
-}
-
-// rawBodyLength reports whether the reader decodes the body in place of the parser, and the body's length,
-// lengthCloseDelimited or lengthChunked.
-func (r *reader) rawBodyLength(m *message) (bypass bool, length int64) {
-	if r.client {
-		switch {
-		case r.handler.isHead() || bodyless(m.status):
-			return m.length > 0 || m.chunked, 0
-		case !m.chunked && m.length < 0:
-			return true, lengthCloseDelimited
-		}
-	}
-	if m.chunked {
-		return true, lengthChunked
-	}
-	return m.length > maxBufferedBodyBytes, m.length
-}
-
-// OnBody passes on a body that the parser has buffered.
-func (r *reader) OnBody(_ *nbhttp.Parser, data []byte) error {
-	if r.err != nil {
-		return r.err
-	}
-	return r.handler.onBody(data)
-}
-
-// OnTrailerHeader drops the trailer field.
-func (r *reader) OnTrailerHeader(_ *nbhttp.Parser, _, _ string) {}
-
-// OnComplete ends a message whose body, if any, was read by the parser.
-func (r *reader) OnComplete(_ *nbhttp.Parser) {
-	if r.err == nil && !r.bypassed {
-		r.err = r.end()
-	}
-}
-
-// Close does nothing: the conn closes the connection.
-func (r *reader) Close(_ *nbhttp.Parser, _ error) {}
-
-// Clean does nothing.
-func (r *reader) Clean(_ *nbhttp.Parser) {}
-
-// Parse takes the input after the head from the parser. The first byte of the first call is the line feed that ends the
-// head. The input is copied, since it belongs to the parser.
-func (r *reader) Parse(data []byte) error {
-	if !r.rawBody {
-		r.rawBody = true
-		data = data[1:]
-	}
-	r.leftover = append([]byte(nil), data...)
-	return nil
-}
-
-// UnderlayerConn returns nil: the reader has no connection of its own.
-func (r *reader) UnderlayerConn() net.Conn { return nil }
-
-// CloseAndClean does nothing.
-func (r *reader) CloseAndClean(_ error) {}
