Controller: steps take effect once saved, and only with the new version's evidence

Cause: steps were merged whoever had decided them, so that stale controllers moved traffic; near the deadline a controller needed no evidence, so that one without reports took that for a good sign; and an old version that fails often hides a worse new one. A new log line of each advance shows the last: "new 10/17" failures beside "old 97/248" at the step to 100%.

Change: a step is saved with the controller's epoch before it takes effect. A rollout advances and completes only while half of the nodes beside the new version report to its controller; these report also without calls. A version that recently failed over 40% of its calls on a route is held. A node that can't reach the controller forwards its evidence through one that can, and does not supersede a live controller within 2 s of its takeover.

Tests: TestStepTakesEffectOnceSaved and TestControllerHearsNewVersion are new with the behaviour; TestFailingVersionIsHeldWhileOldFails failed without the hold, TestGoodVersionAdvancesAfterDisturbance held.

Ruled out: no takeover while the controller is alive in the membership table. A controller that stands still stays alive there for 3 s.

--- a/internal/controller/controlledrollout.go
+++ b/internal/controller/controlledrollout.go
@@ -12,6 +12,10 @@
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
+// evidenceWindow is how long a node counts as reporting to a controller after its last report, in addition to the time
+// between two reports.
+const evidenceWindow = 2 * time.Second
+
 // controlledRollout is a rollout that this node controls or has controlled. A controller that has been superseded or
 // fenced decides nothing, but keeps its evidence in case it takes control again.
 type controlledRollout struct {
@@ -28,6 +32,8 @@
 	fenced bool
 	// readingProgress is set while a fenced controller reads who has fenced it.
 	readingProgress bool
+	// pendingStep is the step whose write is in progress, or 0.
+	pendingStep uint32
 	// completionReason is set once the completion has been written without a known result. Since the operator may have
 	// acted on it, only the completion is written from then on.
 	completionReason string
@@ -38,6 +44,9 @@
 func (c *controlledRollout) observe(report *schema.Report, now time.Time) {
 	c.reportedAt = now
 	c.heardAt[report.Node] = now
+	for _, node := range report.ForwardedFrom {
+		c.heardAt[node] = now
+	}
 	c.analysis.Observe(report.Evidence, now)
 }
 
@@ -73,7 +82,7 @@
 func (k *Controller) beginEpoch(c *controlledRollout, known uint64, now time.Time) {
 	r := c.analysis.Rollout()
 	node := k.table.Self().Node
-	c.epoch, c.writes, c.fenced = nextEpoch(known, node), 0, false
+	c.epoch, c.writes, c.fenced, c.pendingStep = nextEpoch(known, node), 0, false, 0
 	k.mergeProgress(&schema.Progress{Rollout: r.Name, DeclaredVersion: r.DeclaredVersion, Epoch: c.epoch, Controller: node,
 		HeardUnixMs: now.Add(-k.rolloutAge(r, now)).UnixMilli()}, nil)
 }
@@ -87,6 +96,40 @@
 	return (last/epochRange+1)*epochRange + ranker.Score("epoch", node)%epochRange
 }
 
+// hearsNewVersion reports whether at least half of the nodes beside upstreams of the new version, and at least one, have
+// reported to this controller recently. Without their evidence the new version may not get more traffic: that it looks
+// good would only mean that its failures are reported to no one or to another controller.
+func (k *Controller) hearsNewVersion(c *controlledRollout, now time.Time) bool {
+	s := k.Snapshot().Services[c.analysis.Rollout().Service]
+	if s == nil {
+		return false
+	}
+	window := evidenceWindow + scaledInterval(k.common.Settings.ReportInterval, k.table.Len())
+	heard := 0
+	for _, e := range s.Canary {
+		if now.Sub(c.heardAt[e.Node]) <= window {
+			heard++
+		}
+	}
+	return heard > 0 && 2*heard >= len(s.Canary)
+}
+
+// advance moves a rollout to a step. Where progress is saved, the step takes effect only once it is, so that a controller
+// that has been fenced moves no traffic.
+func (k *Controller) advance(c *controlledRollout, step uint32) {
+	r := c.analysis.Rollout()
+	k.common.Logger.Info("advancing rollout", "rollout", r.Name, "step", step, "reporting-nodes", len(c.heardAt),
+		"evidence", c.analysis.Summary())
+	p := &schema.Progress{Rollout: r.Name, DeclaredVersion: r.DeclaredVersion, Step: step}
+	if !savesProgress(r) {
+		k.mergeProgress(p, nil)
+		return
+	}
+	p.HeardUnixMs = k.progress[r.Name].GetHeardUnixMs()
+	c.pendingStep = step
+	k.saveProgress(c, p, func() { k.mergeProgress(p, nil) })
+}
+
 // saveProgress queues a write of the progress with the controller's epoch. onSaved, if not nil, is called on the control
 // goroutine after a successful write.
 func (k *Controller) saveProgress(c *controlledRollout, p *schema.Progress, onSaved func()) {
@@ -100,6 +143,7 @@
 		onResult: func(err error) { k.handleSaveResult(c, write, err, onSaved) }})
 	if !queued {
 		c.writes--
+		c.pendingStep = 0
 	}
 }
 
@@ -116,6 +160,7 @@
 		}
 		return
 	}
+	c.pendingStep = 0
 	switch {
 	case errors.Is(err, ErrFenced):
 		k.handleFenced(c, err)
--- a/internal/controller/controlledrollout_test.go
+++ b/internal/controller/controlledrollout_test.go
@@ -113,6 +113,59 @@
 	}
 }
 
+// TestStepTakesEffectOnceSaved lets the log refuse writes: no step may move traffic, since a newer controller could have
+// fenced this one. Once the log takes writes, the rollout continues.
+func TestStepTakesEffectOnceSaved(t *testing.T) {
+	refuse := func(refused bool) func(*testMesh) {
+		return func(m *testMesh) {
+			for _, n := range m.nodes {
+				n.log.refusesProgress.Store(refused)
+			}
+		}
+	}
+	m := startRolloutMesh(t, 6*time.Second, 0, refuse(true))
+	await(t, 10*time.Second, "the rollout begins", func() bool { return m.share() > 0 })
+	first := m.share()
+	time.Sleep(5 * time.Second)
+	qt.Assert(t, m.share(), qt.Equals, first)
+	refuse(false)(m.testMesh)
+	await(t, 10*time.Second, "the rollout advances", func() bool { return m.share() > first })
+	qt.Assert(t, m.store.lastProgress().Step > 0, qt.IsTrue)
+}
+
+// TestControllerHearsNewVersion checks which reports a controller needs before it gives the new version more traffic.
+func TestControllerHearsNewVersion(t *testing.T) {
+	m := startRolloutMesh(t, time.Minute, 0, nil)
+	n := m.nodes[0]
+	await(t, 10*time.Second, "both nodes of the new version are known", func() bool {
+		s := n.Snapshot().Services["s"]
+		return s != nil && s.Rollout != nil && len(s.Canary) == 2
+	})
+	now := time.Now()
+	tests := []struct {
+		name    string
+		heardAt map[string]time.Time
+		want    bool
+	}{
+		{"no report", nil, false},
+		{"only nodes of the old version", map[string]time.Time{"n0": now, "n2": now}, false},
+		{"one of two nodes", map[string]time.Time{"n1": now}, true},
+		{"a report from long ago", map[string]time.Time{"n1": now.Add(-time.Minute)}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var got bool
+			n.do(func() {
+				c := n.takeControl(n.state.Rollouts["s"], 0, now)
+				c.heardAt = test.heardAt
+				got = n.hearsNewVersion(c, now)
+				c.heardAt = map[string]time.Time{}
+			})
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestCompletionOfUnknownResultIsRepeated reports failures after the completion was written without a known result: the
 // operator may have stopped the old upstreams, so the rollout must be completed and not rolled back.
 func TestCompletionOfUnknownResultIsRepeated(t *testing.T) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,8 @@
 	progress map[string]*schema.Progress
 	// controlled holds the rollouts that this node controls, by name.
 	controlled map[string]*controlledRollout
+	// epochKnownAt holds when this node learnt of the newest controller of a rollout, by the rollout's name.
+	epochKnownAt map[string]time.Time
 	// firstSeen holds when this node first saw a rollout, by the configuration version that declared it.
 	firstSeen          map[uint64]time.Time
 	crashes            map[uint64]*crashRecord
@@ -142,6 +144,7 @@
 		refusedUntil:         map[string]time.Time{},
 		progress:             map[string]*schema.Progress{},
 		controlled:           map[string]*controlledRollout{},
+		epochKnownAt:         map[string]time.Time{},
 		firstSeen:            map[uint64]time.Time{},
 		crashes:              map[uint64]*crashRecord{},
 		random:               rand.New(rand.NewPCG(c.Self.Incarnation, 1)),
--- a/internal/controller/loadmodel.go
+++ b/internal/controller/loadmodel.go
@@ -26,7 +26,7 @@
 func NewLoadModel(state *reducer.State, table *registrar.Table) *LoadModel {
 	logger := hclog.NewNullLogger()
 	k := &Controller{state: state, table: table, progress: map[string]*schema.Progress{},
-		controlled: map[string]*controlledRollout{}, crashes: map[uint64]*crashRecord{}, start: newStartState(time.Now())}
+		controlled: map[string]*controlledRollout{}, epochKnownAt: map[string]time.Time{}, crashes: map[uint64]*crashRecord{}, start: newStartState(time.Now())}
 	k.start.ready = true
 	k.refusedUntil = map[string]time.Time{}
 	k.common = &common.Common{Logger: logger, Checker: checker.New(checker.Config{Logger: logger}),
--- a/internal/controller/reporter.go
+++ b/internal/controller/reporter.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/gossiper"
 	"github.com/tamarackpitch/tamarackpitch/internal/ranker"
@@ -48,7 +50,7 @@
 // forward passes a report of another node on with this node's next report. It may be called from any goroutine.
 func (r *reporter) forward(report *schema.Report) {
 	select {
-	case r.forwarded <- report:
+	case r.forwarded <- proto.CloneOf(report):
 	default:
 		r.controller.common.Logger.Warn("report not forwarded", "rollout", report.Rollout, "from", report.Node,
 			"reason", "too many reports wait")
@@ -60,6 +62,7 @@
 	for {
 		select {
 		case report := <-r.forwarded:
+			report.ForwardedFrom = append(report.ForwardedFrom, report.Node)
 			r.merge(report)
 		default:
 			return
@@ -123,6 +126,7 @@
 		return
 	}
 	unsent.Evidence = append(unsent.Evidence, report.Evidence...)
+	unsent.ForwardedFrom = append(unsent.ForwardedFrom, report.ForwardedFrom...)
 }
 
 // addEmptyReport adds a report without evidence for the rollout of the local upstream's service. One of its candidates
--- a/internal/controller/rolloutprogress.go
+++ b/internal/controller/rolloutprogress.go
@@ -71,6 +71,9 @@
 		return
 	}
 	k.progress[r.Name] = merged
+	if merged.Epoch > old.GetEpoch() {
+		k.epochKnownAt[r.Name] = time.Now()
+	}
 	k.snapshotCache.markServiceDirty(r.Service)
 	f := k.frame()
 	f.Progress = []*schema.Progress{merged}
--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -25,9 +25,8 @@
 	return r
 }
 
-// observeReport evaluates a node's evidence if this node controls the rollout. Otherwise it passes the report on if it
-// knows a newer controller than the sender does; if it knows none, the sender has not reached any, and this node takes
-// control.
+// observeReport evaluates a node's evidence if this node controls the rollout. Otherwise it passes the report on to the
+// controller, or takes control if there is none that it could reach.
 func (k *Controller) observeReport(report *schema.Report, now time.Time) {
 	r := k.openRollout(report.Rollout, report.DeclaredVersion)
 	if r == nil {
@@ -39,7 +38,7 @@
 	case c != nil && c.readingProgress:
 		c.observe(report, now)
 		return
-	case k.knowsNewerController(r, report):
+	case k.forwards(r, report, now):
 		k.reporter.forward(report)
 		return
 	default:
@@ -49,11 +48,27 @@
 	k.evaluateRollout(c, now)
 }
 
-// knowsNewerController reports whether this node knows of another node that controls a rollout with a higher epoch than
-// the sender of a report knows.
-func (k *Controller) knowsNewerController(r *schema.Rollout, report *schema.Report) bool {
+// takeoverInterval is how long a controller is not superseded after it has taken control, while its node is alive.
+const takeoverInterval = 2 * time.Second
+
+// forwards reports whether a report is passed on to another node that controls the rollout: if the sender did not know
+// that controller yet, or if it could not reach it, but this node may. This node's own reporter has tried before; its
+// report stays with it for takeoverInterval. Otherwise two nodes that don't reach each other would supersede each other
+// with every report, and neither would collect enough evidence.
+func (k *Controller) forwards(r *schema.Rollout, report *schema.Report, now time.Time) bool {
 	p := k.progress[r.Name]
-	return p.GetEpoch() > report.Epoch && p.GetController() != "" && p.GetController() != k.table.Self().Node
+	self := k.table.Self().Node
+	if p.GetController() == "" || p.GetController() == self {
+		return false
+	}
+	if p.Epoch > report.Epoch {
+		return true
+	}
+	m := k.table.Get(p.Controller)
+	if m == nil || m.Status != schema.MemberStatus_MEMBER_STATUS_ALIVE {
+		return false
+	}
+	return report.Node != self || now.Sub(k.epochKnownAt[r.Name]) < takeoverInterval
 }
 
 // savesProgress reports whether the rollout's progress is saved with ConfigLog.SaveProgress, which also informs the
@@ -98,7 +113,7 @@
 		k.writeOutcome(c, r, false, p.Reason, now)
 		return
 	}
-	step := k.step(r)
+	step := max(k.step(r), c.pendingStep)
 	d := c.analysis.Decide(now, int(step))
 	if d.AtRisk && !c.atRisk {
 		k.common.Logger.Warn("rollout at risk of missing its deadline", "rollout", r.Name)
@@ -110,11 +125,12 @@
 		k.mergeProgress(&schema.Progress{Rollout: r.Name, DeclaredVersion: r.DeclaredVersion,
 			Step: k.step(r), RolledBack: true, Reason: d.Reason}, nil)
 		k.writeOutcome(c, r, false, d.Reason, now)
+	case c.pendingStep != 0 || !k.hearsNewVersion(c, now):
 	case d.Completed:
 		c.completionReason = d.Reason
 		k.writeOutcome(c, r, true, d.Reason, now)
 	case d.Step > int(step):
-		k.mergeProgress(&schema.Progress{Rollout: r.Name, DeclaredVersion: r.DeclaredVersion, Step: uint32(d.Step)}, nil)
+		k.advance(c, uint32(d.Step))
 	}
 }
 
--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
@@ -18,6 +19,13 @@
 // maxStarvedFailureRate is the highest failure rate of a good version while calls that it depends on are refused.
 const maxStarvedFailureRate = 0.4
 
+const (
+	// holdHalfLife is the half-life of the new version's counts that hold the rollout, and minHoldCalls the decayed
+	// number of calls on a route from which they do.
+	holdHalfLife = 5 * time.Second
+	minHoldCalls = 3
+)
+
 // A call is slow if its latency is more than twice the old version's slowQuantile. Routes with fewer than
 // minBaselineCalls calls to the old version are not compared.
 const (
@@ -70,6 +78,8 @@
 
 	newCalls    uint64
 	newFailures uint64
+	// recent counts the calls to the new version, decayed with holdHalfLife.
+	recent counts
 }
 
 // New returns an Analysis of a rollout at the step of its Config.
@@ -143,6 +153,7 @@
 func (r *routeComparison) addNew(e *schema.Evidence, failed uint64, service *baseline) {
 	r.newCalls += e.Calls
 	r.newFailures += failed
+	r.recent.add(e)
 	calls := float64(e.Calls)
 	oldRate := r.baseline.failureRate(e, service, failures.floor)
 	r.failureScore.add(failures, float64(failed), calls, oldRate)
@@ -199,12 +210,25 @@
 	return highest
 }
 
+// failsTooOften reports whether the new version has recently failed more calls on a route than a good version fails while
+// calls that it depends on are refused. If the old version fails often as well, the comparison can't tell whether the new
+// one is bad, but it may not get more traffic.
+func (a *Analysis) failsTooOften() bool {
+	for _, r := range a.routes {
+		if r.recent.calls >= minHoldCalls && r.recent.failures > maxStarvedFailureRate*r.recent.calls {
+			return true
+		}
+	}
+	return false
+}
+
 // decay applies the time since the last call to the old version's counts, as long as it receives traffic.
 func (a *Analysis) decay(now time.Time) {
 	elapsed := now.Sub(a.decayedAt)
 	a.decayedAt = now
 	frozen := a.step >= LastStep(a.config.Preset)
 	for _, r := range a.routes {
+		r.recent.decay(math.Pow(0.5, float64(elapsed)/float64(holdHalfLife)))
 		r.baseline.frozen = frozen
 		if !frozen {
 			r.baseline.decay(elapsed)
--- a/internal/roller/analysis_test.go
+++ b/internal/roller/analysis_test.go
@@ -184,3 +184,24 @@
 	r := s.run()
 	qt.Assert(t, r.decision.RolledBack, qt.IsTrue, qt.Commentf("%+v", r))
 }
+
+// TestFailingVersionIsHeldWhileOldFails compares a bad version with an old one that fails often too, since services that it
+// depends on are disturbed: the comparison alone can't tell them apart, and the bad version may not get more traffic.
+func TestFailingVersionIsHeldWhileOldFails(t *testing.T) {
+	s := scenario{callsPerTick: 2, oldFailureRate: constant(0.4), newFailureRate: constant(0.6)}
+	r := s.run()
+	qt.Assert(t, r.decision.Completed, qt.IsFalse)
+	qt.Assert(t, r.newCalls < r.exposureLimit(s.callsPerTick), qt.IsTrue, qt.Commentf("%+v", r))
+}
+
+// TestGoodVersionAdvancesAfterDisturbance lets both versions fail often for a while: the good version is completed.
+func TestGoodVersionAdvancesAfterDisturbance(t *testing.T) {
+	disturbed := func(elapsed time.Duration, _ float64) float64 {
+		if elapsed < duration/4 {
+			return 0.5
+		}
+		return 0.02
+	}
+	r := scenario{callsPerTick: 30, oldFailureRate: disturbed, newFailureRate: disturbed}.run()
+	qt.Assert(t, r.decision.Completed, qt.IsTrue, qt.Commentf("%+v", r))
+}
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -77,7 +77,7 @@
 		return Decision{Step: a.step, RolledBack: true, Reason: a.reason}
 	}
 	d := Decision{Step: a.step, AtRisk: a.atRisk(now)}
-	if a.maxScore() >= holdFraction*a.config.Preset.RollbackThreshold {
+	if a.maxScore() >= holdFraction*a.config.Preset.RollbackThreshold || a.failsTooOften() {
 		return d
 	}
 	last := LastStep(a.config.Preset)
