Roller: a failing old version holds a rollout, and urgency never does without calls

With old 56/81 failures on the route of payments and new 3/5, a controller advanced, since three of five calls are few and the comparison with a failing version is blind. Another advanced near the deadline with no call on a route and two on another: an urgent rollout needed none.

An urgent step needs five calls; none only if the service gets no calls at all, as DESIGN.md says.

Test: TestUrgentRolloutNeedsCalls failed before with a service that gets calls.

--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -21,7 +21,7 @@
 
 const (
 	// holdHalfLife is the half-life of the new version's counts that hold the rollout, and minHoldCalls the decayed
-	// number of calls on a route from which they do.
+	// number of calls to a version on a route from which its failures do.
 	holdHalfLife = 5 * time.Second
 	minHoldCalls = 3
 )
@@ -210,18 +210,22 @@
 	return highest
 }
 
-// failsTooOften reports whether the new version has recently failed more calls on a route than a good version fails while
-// calls that it depends on are refused. If the old version fails often as well, the comparison can't tell whether the new
-// one is bad, but it may not get more traffic.
+// failsTooOften reports whether either version has recently failed more calls on a route than a good version fails while
+// calls that it depends on are refused. The comparison then can't tell whether the new version is worse, and it may not
+// get more traffic.
 func (a *Analysis) failsTooOften() bool {
 	for _, r := range a.routes {
-		if r.recent.calls >= minHoldCalls && r.recent.failures > maxStarvedFailureRate*r.recent.calls {
+		if r.recent.failsTooOften() || !r.baseline.frozen && r.baseline.shortTerm.failsTooOften() {
 			return true
 		}
 	}
 	return false
 }
 
+func (c *counts) failsTooOften() bool {
+	return c.calls >= minHoldCalls && c.failures > maxStarvedFailureRate*c.calls
+}
+
 // decay applies the time since the last call to the old version's counts, as long as it receives traffic.
 func (a *Analysis) decay(now time.Time) {
 	elapsed := now.Sub(a.decayedAt)
--- a/internal/roller/analysis_test.go
+++ b/internal/roller/analysis_test.go
@@ -205,3 +205,27 @@
 	r := scenario{callsPerTick: 30, oldFailureRate: disturbed, newFailureRate: disturbed}.run()
 	qt.Assert(t, r.decision.Completed, qt.IsTrue, qt.Commentf("%+v", r))
 }
+
+// TestUrgentRolloutNeedsCalls lets the deadline come near while no calls to the new version are reported: it may not advance
+// while the service gets calls, since the reports may only be missing. A service without calls has no such evidence.
+func TestUrgentRolloutNeedsCalls(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		oldCalls uint64
+		want     bool
+	}{{"service with calls", 20, false}, {"service without calls", 0, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Now()
+			analysis := roller.New(roller.Config{Preset: reducer.DefaultPreset([]string{"0"}), Now: start, Deadline: start.Add(duration),
+				Rollout: &schema.Rollout{Name: "s", Service: "s", To: "v2", DurationMs: uint32(duration.Milliseconds())}})
+			d := roller.Decision{}
+			for now := start; now.Before(start.Add(duration)); now = now.Add(tick) {
+				if test.oldCalls > 0 {
+					analysis.Observe([]*schema.Evidence{{Route: "r", Version: "v1", Calls: test.oldCalls}}, now)
+				}
+				d = analysis.Decide(now, d.Step)
+			}
+			qt.Assert(t, d.Step > 0, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -14,7 +14,7 @@
 const minShareFactor = 2
 
 const (
-	// minCallsPerStep is the lowest number of calls for a step, except close to the deadline (see isUrgent).
+	// minCallsPerStep is the lowest number of calls for a step of a service that gets calls.
 	minCallsPerStep = 5
 	// minCallsPerRoute is the number of calls to the new version on each route before the first step ends.
 	minCallsPerRoute = 4
@@ -22,7 +22,7 @@
 	// score has fallen below it again.
 	holdFraction = 0.4
 	// minObservationTime is how long a controller collects evidence of its own before a near deadline lets it advance
-	// without calls: one that has just taken over has none yet.
+	// with fewer calls: one that has just taken over has none yet.
 	minObservationTime = 2 * time.Second
 	// minStepDuration is the lower bound of a step that is shortened because of the deadline.
 	minStepDuration = 500 * time.Millisecond
@@ -132,20 +132,21 @@
 }
 
 // requiredCalls returns how many calls to the new version the step needs: the preset's minimum, minCallsPerStep once
-// the step exceeds its budget, and none if the rollout is urgent.
+// the step exceeds its budget or the rollout is urgent, and none in an urgent rollout of a service without calls.
 func (a *Analysis) requiredCalls(now time.Time) uint64 {
-	if a.isUrgent(now) {
+	urgent := a.isUrgent(now)
+	if urgent && a.service.longTerm.calls < 1 {
 		return 0
 	}
 	needed := uint64(max(a.config.Preset.MinCalls, minCallsPerStep))
-	if now.Sub(a.stepSince) > a.stepBudget() {
+	if urgent || now.Sub(a.stepSince) > a.stepBudget() {
 		return min(needed, minCallsPerStep)
 	}
 	return needed
 }
 
 // isUrgent reports whether the time left is at most twice the minimum that the remaining steps and the watch period
-// need. A version without calls then advances all the same, since no evidence counts against it.
+// need. The step then needs fewer calls.
 func (a *Analysis) isUrgent(now time.Time) bool {
 	if a.config.Rollout.DurationMs == 0 || now.Sub(a.config.Now) < minObservationTime {
 		return false
