Test: the responses of a draining node are closed by their reader

Cause: the linter found bodies returned to the caller of receive. Change: receive returns what the tests compare, as a value.

--- a/internal/forwarder/leaving_test.go
+++ b/internal/forwarder/leaving_test.go
@@ -93,13 +93,24 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
-func (d *drainingNode) receive(t *testing.T) (response *http.Response, body string) {
+// drainingReply is a response of a draining node.
+type drainingReply struct {
+	status int
+	body   string
+	run    string
+	// closes reports whether the response closes the connection.
+	closes bool
+}
+
+func (d *drainingNode) receive(t *testing.T) drainingReply {
 	t.Helper()
 	response, err := http.ReadResponse(d.reader, nil)
 	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	qt.Assert(t, err, qt.IsNil)
-	return response, string(data)
+	return drainingReply{status: response.StatusCode, body: string(data), run: response.Header.Get("Tamarackpitch-Run"),
+		closes: response.Close}
 }
 
 func post(path string) string {
@@ -111,10 +122,10 @@
 func TestDrainingNodeRefusesCallsItCannotFinish(t *testing.T) {
 	d := startDraining(t, 5000, "")
 	d.send(t, post("/post/late?ms=2000"))
-	response, body := d.receive(t)
-	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", body))
-	qt.Assert(t, response.Header.Get("Tamarackpitch-Run"), qt.Equals, "no")
-	qt.Assert(t, response.Close, qt.IsTrue)
+	r := d.receive(t)
+	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", r.body))
+	qt.Assert(t, r.run, qt.Equals, "no")
+	qt.Assert(t, r.closes, qt.IsTrue)
 	qt.Assert(t, d.upstream.runs.Load(), qt.Equals, int64(1))
 }
 
@@ -122,19 +133,19 @@
 func TestDrainingNodeServesCallsItCanFinish(t *testing.T) {
 	d := startDraining(t, 500, "")
 	d.send(t, post("/post/short"))
-	response, body := d.receive(t)
-	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
-	qt.Assert(t, body, qt.Equals, "/post/short")
-	qt.Assert(t, response.Close, qt.IsTrue)
+	r := d.receive(t)
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	qt.Assert(t, r.body, qt.Equals, "/post/short")
+	qt.Assert(t, r.closes, qt.IsTrue)
 }
 
 // TestResponseWhileDrainingClosesConnection starts a call before the node drains: its response must tell the caller that
 // the connection closes, so that the caller sends no further call on it.
 func TestResponseWhileDrainingClosesConnection(t *testing.T) {
 	d := startDraining(t, 5000, post("/post/early?ms=200"))
-	response, body := d.receive(t)
-	qt.Assert(t, body, qt.Equals, "/post/early")
-	qt.Assert(t, response.Close, qt.IsTrue)
+	r := d.receive(t)
+	qt.Assert(t, r.body, qt.Equals, "/post/early")
+	qt.Assert(t, r.closes, qt.IsTrue)
 	_, err := d.reader.ReadByte()
 	qt.Assert(t, err, qt.Equals, io.EOF)
 }
@@ -144,9 +155,9 @@
 func TestPipelinedCallsAreAnsweredWhileDraining(t *testing.T) {
 	d := startDraining(t, 5000, get("/get/1?ms=200")+get("/get/2?ms=200")+get("/get/3?ms=200"))
 	for _, want := range []string{"/get/1", "/get/2", "/get/3"} {
-		response, body := d.receive(t)
-		qt.Assert(t, body, qt.Equals, want)
-		qt.Assert(t, response.Close, qt.Equals, want == "/get/3")
+		r := d.receive(t)
+		qt.Assert(t, r.body, qt.Equals, want)
+		qt.Assert(t, r.closes, qt.Equals, want == "/get/3")
 	}
 }
 
