Controller: an announced address needs a port that can be connected to

Processes did not end and readers went on, whatever was nested or too large; but a heartbeat with a port out of range was accepted, and replaced the upstream that was announced, so that its calls were refused.

Change: the address is parsed with its port, 1 to 65535.

--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"net"
+	"net/netip"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
@@ -60,9 +60,8 @@
 	case a.ColdStartMs < 0 || a.ColdStartMs > maxColdStart.Milliseconds():
 		return "cold-start-ms must be 0 to 3600000"
 	}
-	host, _, err := net.SplitHostPort(a.Address)
-	if err != nil || net.ParseIP(host) == nil {
-		return "address must be IP:port"
+	if address, err := netip.ParseAddrPort(a.Address); err != nil || address.Port() == 0 {
+		return "address must be IP:port, with a port of 1 to 65535"
 	}
 	return ""
 }
