Controller: nodes agree on one of two controllers with the same epoch

Two nodes whose names have the same hash could choose the same epoch; each merge then took the name that came last, so that the two values would have been sent to and fro. Names in forwarded_from could repeat.

Change: of one epoch the controller whose name sorts last is kept; forwarded_from holds each name once.

Test: TestMergedProgressOfOneEpoch, in both orders.

--- a/internal/controller/lease_test.go
+++ b/internal/controller/lease_test.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// TestMergedProgressOfOneEpoch merges the values of two controllers that have chosen the same epoch: whatever the order, one of
+// them is kept.
+func TestMergedProgressOfOneEpoch(t *testing.T) {
+	a, b := &schema.Progress{Epoch: 7, Controller: "a"}, &schema.Progress{Epoch: 7, Controller: "b"}
+	qt.Assert(t, mergedProgress(a, b).Controller, qt.Equals, "b")
+	qt.Assert(t, mergedProgress(b, a).Controller, qt.Equals, "b")
+}
+
 // TestEpochsDiffer checks that two nodes that take over at the same time get different epochs, and the next takeover a
 // higher one.
 func TestEpochsDiffer(t *testing.T) {
--- a/internal/controller/reporter.go
+++ b/internal/controller/reporter.go
@@ -62,7 +62,7 @@
 	for {
 		select {
 		case report := <-r.forwarded:
-			report.ForwardedFrom = append(report.ForwardedFrom, report.Node)
+			report.ForwardedFrom = addName(report.ForwardedFrom, report.Node)
 			r.merge(report)
 		default:
 			return
@@ -126,7 +126,17 @@
 		return
 	}
 	unsent.Evidence = append(unsent.Evidence, report.Evidence...)
-	unsent.ForwardedFrom = append(unsent.ForwardedFrom, report.ForwardedFrom...)
+	for _, node := range report.ForwardedFrom {
+		unsent.ForwardedFrom = addName(unsent.ForwardedFrom, node)
+	}
+}
+
+// addName adds a name to a list of distinct names.
+func addName(names []string, name string) []string {
+	if slices.Contains(names, name) {
+		return names
+	}
+	return append(names, name)
 }
 
 // addEmptyReport adds a report without evidence for the rollout of the local upstream's service. One of its candidates
--- a/internal/controller/rolloutprogress.go
+++ b/internal/controller/rolloutprogress.go
@@ -82,7 +82,8 @@
 }
 
 // mergedProgress merges two values: completed overrides rolled back, which overrides every step. The higher step, the
-// higher epoch with its controller, and the earlier start are kept.
+// higher epoch with its controller, and the earlier start are kept. If two nodes have chosen the same epoch, the one whose
+// name sorts last is kept, so that all nodes agree.
 func mergedProgress(old, p *schema.Progress) *schema.Progress {
 	merged := proto.CloneOf(p)
 	merged.Sequence = 0
@@ -92,7 +93,7 @@
 	merged.Step = max(old.Step, p.Step)
 	merged.Completed = old.Completed || p.Completed
 	merged.RolledBack = (old.RolledBack || p.RolledBack) && !merged.Completed
-	if old.Epoch > p.Epoch {
+	if old.Epoch > p.Epoch || old.Epoch == p.Epoch && old.Controller > p.Controller {
 		merged.Epoch, merged.Controller = old.Epoch, old.Controller
 	}
 	merged.Reported = old.Reported || p.Reported
--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -126,6 +126,7 @@
 			Step: k.step(r), RolledBack: true, Reason: d.Reason}, nil)
 		k.writeOutcome(c, r, false, d.Reason, now)
 	case c.pendingStep != 0 || !k.hearsNewVersion(c, now):
+		// The rollout stays on its step until the last one is saved, and while evidence may be missing.
 	case d.Completed:
 		c.completionReason = d.Reason
 		k.writeOutcome(c, r, true, d.Reason, now)
