Roller: a rollout is held from a failure rate of a quarter on

Change: holdFailureRate, 0.25 for either version, in place of the highest rate of a good version whose dependencies are refused.

--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -24,6 +24,9 @@
 	// number of calls to a version on a route from which its failures do.
 	holdHalfLife = 5 * time.Second
 	minHoldCalls = 3
+	// holdFailureRate is the failure rate of either version on a route above which the rollout is held: the service is
+	// disturbed, and the difference between the versions is too small to be found before a bad one has got too much.
+	holdFailureRate = 0.25
 )
 
 // A call is slow if its latency is more than twice the old version's slowQuantile. Routes with fewer than
@@ -210,9 +213,7 @@
 	return highest
 }
 
-// failsTooOften reports whether either version has recently failed more calls on a route than a good version fails while
-// calls that it depends on are refused. The comparison then can't tell whether the new version is worse, and it may not
-// get more traffic.
+// failsTooOften reports whether the recent failure rate of either version on a route is above holdFailureRate.
 func (a *Analysis) failsTooOften() bool {
 	for _, r := range a.routes {
 		if r.recent.failsTooOften() || !r.baseline.frozen && r.baseline.shortTerm.failsTooOften() {
@@ -223,7 +224,7 @@
 }
 
 func (c *counts) failsTooOften() bool {
-	return c.calls >= minHoldCalls && c.failures > maxStarvedFailureRate*c.calls
+	return c.calls >= minHoldCalls && c.failures > holdFailureRate*c.calls
 }
 
 // decay applies the time since the last call to the old version's counts, as long as it receives traffic.
