Test: calls that cross the start of a drain don't depend on the idle time

Cause: the tests sent the late call within the 300 ms after which a draining node closes idle connections; on a busy machine it could come later. The two tests of calls of other nodes depended on pooled connections in the same way.

Change: a part of the request's head is sent before the drain, so that the connection is in use. The calls of other nodes are sent on a raw connection, for both operations, and the refusal's reason is checked too.

--- a/internal/forwarder/leaving_test.go
+++ b/internal/forwarder/leaving_test.go
@@ -43,9 +43,13 @@
 // drainTime is the drain timeout of nodes started by startDraining.
 const drainTime = 1500 * time.Millisecond
 
+// openHeadBytes is how much of a request is sent before the node drains, so that its connection is not closed as idle.
+const openHeadBytes = 10
+
 // startDraining starts a node whose calls take as many milliseconds as their parameter ms states, and opens a connection to
-// it. The calls of first, if it is not empty, are in progress when the node begins to drain.
-func startDraining(t *testing.T, timeoutMs uint32, first string) *drainingNode {
+// it. When the node begins to drain, the calls of first are in progress, or else a part of the head of next has been sent,
+// of which send sends the rest.
+func startDraining(t *testing.T, timeoutMs uint32, first, next string) *drainingNode {
 	t.Helper()
 	n := newNode(t, "entry")
 	n.common.Settings.DrainTimeout = drainTime
@@ -66,6 +70,7 @@
 	eventually(t, "the first call runs", func() bool { return u.runs.Load() > 0 })
 	if first == "" {
 		d.receive(t)
+		d.send(t, next[:openHeadBytes])
 	}
 	snapshot.leaving = true
 	n.publish(snapshot)
@@ -120,8 +125,9 @@
 // TestDrainingNodeRefusesCallsItCannotFinish sends a call on a kept connection whose timeout is later than the end of the
 // node: it must be refused before it runs, since it could be broken off while the upstream processes it.
 func TestDrainingNodeRefusesCallsItCannotFinish(t *testing.T) {
-	d := startDraining(t, 5000, "")
-	d.send(t, post("/post/late?ms=2000"))
+	call := post("/post/late?ms=2000")
+	d := startDraining(t, 5000, "", call)
+	d.send(t, call[openHeadBytes:])
 	r := d.receive(t)
 	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", r.body))
 	qt.Assert(t, r.run, qt.Equals, "no")
@@ -131,8 +137,9 @@
 
 // TestDrainingNodeServesCallsItCanFinish sends a call on a kept connection that is over before the node ends.
 func TestDrainingNodeServesCallsItCanFinish(t *testing.T) {
-	d := startDraining(t, 500, "")
-	d.send(t, post("/post/short"))
+	call := post("/post/short")
+	d := startDraining(t, 500, "", call)
+	d.send(t, call[openHeadBytes:])
 	r := d.receive(t)
 	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
 	qt.Assert(t, r.body, qt.Equals, "/post/short")
@@ -142,7 +149,7 @@
 // TestResponseWhileDrainingClosesConnection starts a call before the node drains: its response must tell the caller that
 // the connection closes, so that the caller sends no further call on it.
 func TestResponseWhileDrainingClosesConnection(t *testing.T) {
-	d := startDraining(t, 5000, post("/post/early?ms=200"))
+	d := startDraining(t, 5000, post("/post/early?ms=200"), "")
 	r := d.receive(t)
 	qt.Assert(t, r.body, qt.Equals, "/post/early")
 	qt.Assert(t, r.closes, qt.IsTrue)
@@ -153,7 +160,7 @@
 // TestPipelinedCallsAreAnsweredWhileDraining starts several calls of one connection before the node drains: only the last
 // response may close the connection, since the calls behind it would be broken off.
 func TestPipelinedCallsAreAnsweredWhileDraining(t *testing.T) {
-	d := startDraining(t, 5000, get("/get/1?ms=200")+get("/get/2?ms=200")+get("/get/3?ms=200"))
+	d := startDraining(t, 5000, get("/get/1?ms=200")+get("/get/2?ms=200")+get("/get/3?ms=200"), "")
 	for _, want := range []string{"/get/1", "/get/2", "/get/3"} {
 		r := d.receive(t)
 		qt.Assert(t, r.body, qt.Equals, want)
@@ -161,40 +168,36 @@
 	}
 }
 
-// TestDrainingNodeRefusesCallsOfOtherNodes lets another node send a call to the upstream of a node that drains and would
-// end before the call's timeout: the call must run at another upstream instead.
+// TestDrainingNodeRefusesCallsOfOtherNodes sends calls as another node does to a node that drains and would end before
+// their timeout: a call to its upstream, and a call with a new idempotency key that it owns. They must be refused before they
+// run, so that another node can take them.
 func TestDrainingNodeRefusesCallsOfOtherNodes(t *testing.T) {
-	entry, first, second := newNode(t, "entry"), newNode(t, "first"), newNode(t, "second")
-	first.common.Settings.DrainTimeout = drainTime
-	firstUpstream, secondUpstream := newUpstream(t, respondWith("first")), newUpstream(t, respondWith("second"))
-	other := second.endpoint("v1")
-	// The cold start raises its cost, so that the draining node is tried first.
-	other.WarmAt = time.Now().Add(time.Hour)
-	endpoints := []*balancer.Endpoint{first.endpoint("v1"), other}
-	entry.publish(snapshotConfig{endpoints: endpoints})
-	second.publish(snapshotConfig{endpoints: endpoints, local: secondUpstream.local("v1")})
-	snapshot := snapshotConfig{endpoints: endpoints, local: firstUpstream.local("v1")}
-	first.publish(snapshot)
-	qt.Assert(t, do("POST", entry.url("/post"), "pay").body, qt.Equals, "first")
-	snapshot.leaving = true
-	first.publish(snapshot)
-	first.startDrain(t)
-	r := do("POST", entry.url("/post"), "pay")
-	qt.Assert(t, r.body, qt.Equals, "second", qt.Commentf("%+v", r))
-	qt.Assert(t, firstUpstream.runs.Load(), qt.Equals, int64(1))
-}
-
-// TestDrainingNodeRefusesNewKeys sends a call with a new idempotency key to a draining node that owns the key and would end
-// before the call's timeout: the call must be refused before it runs.
-func TestDrainingNodeRefusesNewKeys(t *testing.T) {
-	entry, owner, u := pair(t, respondWith("paid"))
-	owner.common.Settings.DrainTimeout = drainTime
-	pay := func(key string) reply { return do("POST", entry.url("/post"), "pay", "Idempotency-Key", key) }
-	qt.Assert(t, pay("early").body, qt.Equals, "paid")
-	owner.publish(snapshotConfig{endpoints: owner.endpoints("v1"), local: u.local("v1"), leaving: true})
-	owner.startDrain(t)
-	r := pay("late")
-	qt.Assert(t, r.refusal, qt.Equals, "node-leaving", qt.Commentf("%+v", r))
-	qt.Assert(t, r.run, qt.Equals, "no")
-	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+	for _, operation := range []string{"call", "own"} {
+		t.Run(operation, func(t *testing.T) {
+			n := newNode(t, "sidecar")
+			n.common.Settings.DrainTimeout = drainTime
+			u := newUpstream(t, respondWith("ran"))
+			snapshot := snapshotConfig{endpoints: n.endpoints("v1"), local: u.local("v1")}
+			n.publish(snapshot)
+			_, peers := n.Addresses()
+			c, err := net.Dial("tcp", peers)
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = c.Close() }()
+			qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+			call := "POST /post HTTP/1.1\r\nHost: x\r\nTamarackpitch-Operation: " + operation + "\r\nTamarackpitch-Id: 7\r\n" +
+				"Tamarackpitch-Time-Left: 5000\r\nTamarackpitch-Route: post\r\nTamarackpitch-Service: s\r\n" +
+				"Idempotency-Key: k\r\nContent-Length: 3\r\n\r\npay"
+			d := &drainingNode{testNode: n, upstream: u, connection: c, reader: bufio.NewReader(c)}
+			d.send(t, call[:openHeadBytes])
+			snapshot.leaving = true
+			n.publish(snapshot)
+			n.startDrain(t)
+			d.send(t, call[openHeadBytes:])
+			r := d.receive(t)
+			qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%+v", r))
+			qt.Assert(t, r.body, qt.Equals, "node-leaving\n")
+			qt.Assert(t, r.run, qt.Equals, "no")
+			qt.Assert(t, u.runs.Load(), qt.Equals, int64(0))
+		})
+	}
 }
