Test: one accept loop for scripted peers and upstreams; an accepted connection before the drain

Cause: the accept loop stood three times. TestDrainingNodeRefusesCallsOfOtherNodes failed in two of six runs beside load 30: its connection could still wait to be accepted when the node closed its listeners.

Change: serveConnections; the test makes a call on its connection first.

--- a/internal/forwarder/keepalive_test.go
+++ b/internal/forwarder/keepalive_test.go
@@ -18,19 +18,7 @@
 // request arrives after it.
 func forgetfulUpstream(t *testing.T) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveForgetfully(c)
-		}
-	}()
-	return l.Addr().String()
+	return serveConnections(t, serveForgetfully)
 }
 
 func serveForgetfully(c net.Conn) {
--- a/internal/forwarder/leaving_test.go
+++ b/internal/forwarder/leaving_test.go
@@ -188,6 +188,9 @@
 				"Tamarackpitch-Time-Left: 5000\r\nTamarackpitch-Route: post\r\nTamarackpitch-Service: s\r\n" +
 				"Idempotency-Key: k\r\nContent-Length: 3\r\n\r\npay"
 			d := &drainingNode{testNode: n, upstream: u, connection: c, reader: bufio.NewReader(c)}
+			// The response shows that the node has accepted the connection.
+			d.send(t, "POST /post HTTP/1.1\r\nHost: x\r\nTamarackpitch-Operation: unknown\r\nContent-Length: 0\r\n\r\n")
+			qt.Assert(t, d.receive(t).status, qt.Equals, http.StatusBadRequest)
 			d.send(t, call[:openHeadBytes])
 			snapshot.leaving = true
 			n.publish(snapshot)
--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -226,21 +226,28 @@
 type script func(operation string, w net.Conn) bool
 
 func newScriptedPeer(t *testing.T, s script) *scriptedPeer {
+	t.Helper()
+	p := &scriptedPeer{}
+	p.address = serveConnections(t, func(c net.Conn) { p.serve(c, s) })
+	return p
+}
+
+// serveConnections listens until the test ends and serves each connection on a goroutine of its own.
+func serveConnections(t *testing.T, serve func(net.Conn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = l.Close() })
-	p := &scriptedPeer{address: l.Addr().String()}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go p.serve(c, s)
+			go serve(c)
 		}
 	}()
-	return p
+	return l.Addr().String()
 }
 
 func (p *scriptedPeer) serve(c net.Conn, s script) {
--- a/internal/forwarder/repeatedrefusal_test.go
+++ b/internal/forwarder/repeatedrefusal_test.go
@@ -29,23 +29,6 @@
 	repeated int
 }
 
-func (u *refusalRepeater) start(t *testing.T) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (u *refusalRepeater) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
@@ -96,7 +79,7 @@
 			for _, name := range []string{"sidecar-0", "sidecar-1"} {
 				n := newNodeWith(t, name, sealedDialect())
 				endpoints = append(endpoints, n.endpoint("v1"))
-				local := &router.Local{Service: "s", Version: "v1", Address: u.start(t), Slots: 1, Connections: 1}
+				local := &router.Local{Service: "s", Version: "v1", Address: serveConnections(t, u.serve), Slots: 1, Connections: 1}
 				n.publish(snapshotConfig{endpoints: n.endpoints("v1"), local: local})
 			}
 			entry.publish(snapshotConfig{endpoints: endpoints})
