--- a/internal/controller/controlledrollout_test.go
+++ b/internal/controller/controlledrollout_test.go
@@ -59,6 +59,12 @@
 	m.store.publish(&schema.State{Services: []*schema.Service{{Name: "s", OpenVersions: true}}, Presets: []*schema.Preset{preset},
 		ActivePreset: preset.Name, Rollouts: []*schema.Rollout{{Name: "s", Service: "s", From: "v1", To: "v2", DeclaredVersion: 1,
 			DurationMs: uint32(duration.Milliseconds()), Phase: schema.RolloutPhase_ROLLOUT_PHASE_OPEN}}})
+	await(t, 10*time.Second, "all nodes know the rollout", func() bool {
+		return !slices.ContainsFunc(m.nodes, func(n *meshNode) bool {
+			s := n.Snapshot().Services["s"]
+			return s == nil || s.Rollout == nil
+		})
+	})
 	return m
 }
 
@@ -124,7 +130,6 @@
 		}
 	}
 	m := startRolloutMesh(t, 6*time.Second, 0, refuse(true))
-	await(t, 10*time.Second, "the rollout begins", func() bool { return m.share() > 0 })
 	first := m.share()
 	time.Sleep(5 * time.Second)
 	qt.Assert(t, m.share(), qt.Equals, first)
@@ -171,7 +176,6 @@
 func TestCompletionOfUnknownResultIsRepeated(t *testing.T) {
 	m := startRolloutMesh(t, time.Minute, 0, nil)
 	n := m.nodes[0]
-	await(t, 10*time.Second, "the rollout is known", func() bool { return m.share() > 0 })
 	n.do(func() {
 		c := n.takeControl(n.state.Rollouts["s"], n.progress["s"].GetEpoch(), time.Now())
 		c.completionReason = "all traffic moved"
