--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -75,6 +75,10 @@
 	}
 	c.skippedStale = true
 	c.response = nil
+	f := c.forwarder
+	f.stats.UpstreamStale.Add(1)
+	c.attempt.exchange.logCall(f.callLog.retries, "response to another call discarded", "of", m.get(f.config.Dialect.RequestID),
+		"status", m.status)
 	return nil
 }
 
@@ -120,7 +124,11 @@
 	}
 }
 
-func (c *clientConn) onMalformed(error) {}
+func (c *clientConn) onMalformed(error) {
+	if c.conn.local {
+		c.forwarder.stats.UpstreamMalformed.Add(1)
+	}
+}
 
 func (c *clientConn) onDrained() {
 	if c.attempt != nil {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -288,7 +288,7 @@
 }
 
 // onAttemptLost is called when an attempt's connection failed before the response was complete.
-func (x *exchange) onAttemptLost(a *attempt, _ error) {
+func (x *exchange) onAttemptLost(a *attempt, err error) {
 	f := x.forwarder
 	if x.attempt == a {
 		x.attempt = nil
@@ -319,9 +319,9 @@
 	case !a.sent:
 		x.handleNotSent(a)
 	case a.local():
-		x.retryUnknown("upstream-lost")
+		x.retryUnknown("upstream-lost", "error", err, "reused", a.conn.reused)
 	case x.idempotent && x.claim == nil:
-		x.retryUnknown("node-lost")
+		x.retryUnknown("node-lost", "error", err, "reused", a.conn.reused)
 	case x.claim == nil:
 		x.startClaim(a)
 	}
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -95,9 +95,9 @@
 }
 
 // retryUnknown tries another node after an attempt that may have run, if the call is idempotent. Otherwise it refuses
-// the call.
-func (x *exchange) retryUnknown(reason string) {
-	x.logCall(x.forwarder.callLog.retries, "attempt failed", "reason", reason)
+// the call. pairs are logged with the reason.
+func (x *exchange) retryUnknown(reason string, pairs ...any) {
+	x.logCall(x.forwarder.callLog.retries, "attempt failed", append([]any{"reason", reason}, pairs...)...)
 	x.cancelAttempts()
 	if x.idempotent && x.takeRetry() {
 		x.dispatch()
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -71,6 +71,7 @@
 		return
 	}
 	f.stats.Retries.Add(1)
+	x.logCall(f.callLog.retries, "call sent again to the same upstream", "silence", now.Sub(a.began))
 	x.freshConn = true
 	x.cancelAttempts()
 	x.admitLocal()
--- a/internal/forwarder/stats.go
+++ b/internal/forwarder/stats.go
@@ -33,6 +33,11 @@
 	Malformed atomic.Uint64
 	// UpstreamRefused counts calls that the local upstream refused without running them.
 	UpstreamRefused atomic.Uint64
+	// UpstreamMalformed counts connections to the local upstream that were closed because of input that was no response to
+	// their call.
+	UpstreamMalformed atomic.Uint64
+	// UpstreamStale counts discarded responses of the local upstream to another call.
+	UpstreamStale atomic.Uint64
 	// Sent counts calls sent to the local upstream, repeated ones included.
 	Sent atomic.Uint64
 	// rateLimit holds the bits of the local upstream's rate limit, a float64.
