Forwarder: a part of a response never becomes a part of the next

Cause: the parser of a kept connection took input that belonged to no call. An incomplete head, as of a second response that is cut or still on its way, raised no error and stayed in the parser while the connection was idle, where a look at the socket does not see it. The next response's status line then ended its reason phrase or a header value; the status was the earlier response's, ID, seal and body the later one's.

Change: input on a connection without a call closes it with its first byte. Each response gets a parser of its own, and a connection on which input has arrived with a response's end is not reused. A part that arrives after the next call was sent can't be told from its response's beginning; there a status line within a response's head makes it malformed. A response head is limited in bytes however it is split.

--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -48,6 +48,10 @@
 	return c.attempt != nil && c.attempt.exchange.request.message.method == "HEAD" && c.attempt.kind == kindCall
 }
 
+// expects reports whether a request waits for a response. Input on an idle connection, even a part of a response, belongs
+// to no request.
+func (c *clientConn) expects() bool { return c.attempt != nil }
+
 func (c *clientConn) onHead(m *message) error {
 	if c.attempt == nil {
 		return &Error{Operation: "read", Kind: KindMalformed, Detail: "response without a request"}
@@ -89,7 +93,7 @@
 	return nil
 }
 
-func (c *clientConn) onEnd() error {
+func (c *clientConn) onEnd(surplus bool) error {
 	if c.response == nil {
 		return nil
 	}
@@ -99,7 +103,7 @@
 		return nil
 	}
 	c.conn.resume()
-	reusable := m.keepAlive() && a.requestSent && (m.length >= 0 || m.chunked || bodyless(m.status))
+	reusable := !surplus && m.keepAlive() && a.requestSent && (m.length >= 0 || m.chunked || bodyless(m.status))
 	c.attempt = nil
 	if !reusable {
 		c.conn.close()
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -141,6 +141,12 @@
 	if c.conn.closed {
 		return
 	}
+	if len(p.waiting) > 0 {
+		if err := c.unusable(c.idleSince); err != nil {
+			c.conn.closeWith(err)
+			return
+		}
+	}
 	for len(p.waiting) > 0 {
 		a := p.waiting[0]
 		p.waiting = p.waiting[1:]
--- a/internal/forwarder/reader.go
+++ b/internal/forwarder/reader.go
@@ -24,24 +24,31 @@
 
 // messageHandler receives the messages of a connection. An error from onHead, onBody or onEnd closes the connection.
 type messageHandler interface {
+	// expects reports whether a message may begin now. Input that begins one otherwise closes the connection.
+	expects() bool
 	// onHead is called with a complete head.
 	onHead(m *message) error
 	// onBody is called with each piece of the body. The piece is valid only during the call.
 	onBody(data []byte) error
-	// onEnd is called once for each message, after its body.
-	onEnd() error
+	// onEnd is called once for each message, after its body. surplus reports whether more input has arrived with the end of
+	// a response.
+	onEnd(surplus bool) error
 	// isHead reports whether the response being read answers a HEAD request.
 	isHead() bool
 }
 
 // reader parses the input of a connection: responses if client is set, else requests. nbhttp's parser buffers a whole
 // body or chunk before it passes it on. To stream long and chunked bodies, the reader takes the bytes after the head
-// from the parser and decodes the body itself.
+// from the parser and decodes the body itself. It does so for all responses, and uses a new parser for each, so that no
+// part of one can become a part of the next.
 type reader struct {
 	handler messageHandler
 	client  bool
 	parser  *nbhttp.Parser
 	message *message
+	// input is what is being parsed, and head the parts of an incomplete response head that were parsed before.
+	input []byte
+	head  []byte
 	// err is the first error found by a callback of the parser.
 	err error
 	// inBody is set once the head of the current message has been passed on.
@@ -53,6 +60,9 @@
 	rawBody  bool
 	// remaining is the number of body bytes still to come, or lengthCloseDelimited. It is unused if chunks is set.
 	remaining int64
+	// collects is set if the body is short enough to be passed on as a whole; collected is its beginning.
+	collects  bool
+	collected []byte
 	// chunks decodes a chunked body, or is nil.
 	chunks *chunkDecoder
 	// leftover is the input after the head that Parse has taken from the parser.
@@ -73,8 +83,11 @@
 	r.bypassed = false
 	r.rawBody = false
 	r.remaining = 0
+	r.collects = false
+	r.collected = nil
 	r.chunks = nil
 	r.leftover = nil
+	r.head = nil
 }
 
 // feed parses bytes read from the connection. The parser passes a head on at its last carriage return. A carriage return
@@ -127,12 +140,32 @@
 		return &Error{Operation: "parse", Kind: KindTooLarge, Detail: "header"}
 	}
 	if !r.inBody {
+		if r.message == nil && !r.handler.expects() {
+			return &Error{Operation: "read", Kind: KindMalformed, Detail: "input without a request"}
+		}
 		r.countHeadBytes(len(data))
 	}
-	if err := r.parser.Parse(data); err != nil {
+	r.input = data
+	err := r.parser.Parse(data)
+	r.input = nil
+	switch {
+	case r.err != nil:
+		return r.err
+	case err != nil:
 		return &Error{Operation: "parse", Kind: KindMalformed, Detail: err.Error()}
+	case r.client && !r.rawBody:
+		return r.keepHead(data)
+	}
+	return nil
+}
+
+// keepHead keeps a part of an incomplete response head.
+func (r *reader) keepHead(data []byte) error {
+	r.head = append(r.head, data...)
+	if len(r.head) > maxHeaderBytes {
+		return &Error{Operation: "parse", Kind: KindTooLarge, Detail: "header"}
 	}
-	return r.err
+	return nil
 }
 
 // countHeadBytes counts the received bytes of an incomplete head, so that parse also limits a head that arrives in
@@ -156,33 +189,45 @@
 		r.remaining -= int64(n)
 	}
 	if n > 0 {
-		if err := r.handler.onBody(data[:n]); err != nil {
+		if err := r.passBody(data[:n]); err != nil {
 			return n, err
 		}
 	}
 	if r.remaining == 0 {
 		r.reset()
-		return n, r.end()
+		return n, r.end(n < len(data))
 	}
 	return n, nil
 }
 
+// passBody passes on a piece of the body, or the whole of a short one.
+func (r *reader) passBody(data []byte) error {
+	if !r.collects || r.remaining == 0 && len(r.collected) == 0 {
+		return r.handler.onBody(data)
+	}
+	r.collected = append(r.collected, data...)
+	if r.remaining > 0 {
+		return nil
+	}
+	return r.handler.onBody(r.collected)
+}
+
 func (r *reader) feedChunks(data []byte) (int, error) {
 	n, err := r.chunks.decode(data, r.handler.onBody)
 	if err != nil {
 		return n, err
 	}
-	if r.chunks.done() {
-		r.reset()
-		return n, r.end()
+	if !r.chunks.done() {
+		return n, nil
 	}
-	return n, nil
+	r.reset()
+	return n, r.end(n < len(data))
 }
 
-func (r *reader) end() error {
+func (r *reader) end(surplus bool) error {
 	r.message = nil
 	r.inBody = false
-	return r.handler.onEnd()
+	return r.handler.onEnd(r.client && surplus)
 }
 
 // closeDelimited reports whether the body being read ends when the connection closes.
@@ -195,7 +240,7 @@
 func (r *reader) finish(peerClosed bool) bool {
 	if peerClosed && r.closeDelimited() {
 		r.reset()
-		return r.end() == nil
+		return r.end(false) == nil
 	}
 	return r.message == nil && !r.inBody
 }
--- a/internal/forwarder/reader_test.go
+++ b/internal/forwarder/reader_test.go
@@ -23,7 +23,9 @@
 	return nil
 }
 
-func (h *recordingHandler) onEnd() error {
+func (h *recordingHandler) expects() bool { return true }
+
+func (h *recordingHandler) onEnd(bool) error {
 	h.text.WriteString(" end")
 	return nil
 }
--- a/internal/forwarder/readercallbacks.go
+++ b/internal/forwarder/readercallbacks.go
@@ -100,13 +100,23 @@
 	if bypass, length := r.rawBodyLength(m); bypass {
 		r.bypassed = true
 		r.remaining = length
+		r.collects = r.client && length > 0 && length <= maxBufferedBodyBytes
 		if m.chunked && length == lengthChunked {
 			r.chunks = &chunkDecoder{}
 		}
 		p.ParserCloser = r
 	}
+	if r.client {
+		// Parse passes the head on.
+		return
+	}
+	r.passHead()
+}
+
+// passHead passes on a complete head.
+func (r *reader) passHead() {
 	r.inBody = true
-	if r.err = r.handler.onHead(m); r.err != nil {
+	if r.err = r.handler.onHead(r.message); r.err != nil {
 		r.bypassed = false
 	}
 }
@@ -114,18 +124,15 @@
 // rawBodyLength reports whether the reader decodes the body in place of the parser, and the body's length,
 // lengthCloseDelimited or lengthChunked.
 func (r *reader) rawBodyLength(m *message) (bypass bool, length int64) {
-	if r.client {
-		switch {
-		case r.handler.isHead() || bodyless(m.status):
-			return m.length > 0 || m.chunked, 0
-		case !m.chunked && m.length < 0:
-			return true, lengthCloseDelimited
-		}
-	}
-	if m.chunked {
+	switch {
+	case r.client && (r.handler.isHead() || bodyless(m.status)):
+		return true, 0
+	case m.chunked:
 		return true, lengthChunked
+	case r.client && m.length < 0:
+		return true, lengthCloseDelimited
 	}
-	return m.length > maxBufferedBodyBytes, m.length
+	return r.client || m.length > maxBufferedBodyBytes, m.length
 }
 
 // OnBody passes on a body that the parser has buffered.
@@ -142,7 +149,7 @@
 // OnComplete ends a message whose body, if any, was read by the parser.
 func (r *reader) OnComplete(_ *nbhttp.Parser) {
 	if r.err == nil && !r.bypassed {
-		r.err = r.end()
+		r.err = r.end(false)
 	}
 }
 
@@ -160,12 +167,26 @@
 		if data[0] != '\n' {
 			return &Error{Operation: "parse", Kind: KindMalformed, Detail: "no line feed after the head"}
 		}
+		if r.client {
+			r.passResponseHead(len(data))
+		}
 		data = data[1:]
 	}
 	r.leftover = append([]byte(nil), data...)
 	return nil
 }
 
+// passResponseHead passes on a response head unless it contains the beginning of another one. rest is the length of the
+// input that follows the head.
+func (r *reader) passResponseHead(rest int) {
+	head := append(r.head, r.input[:max(len(r.input)-rest, 0)]...)
+	if _, found := afterStatusLine(head[min(1, len(head)):]); found {
+		r.fail(KindMalformed, "status line within a response head")
+		return
+	}
+	r.passHead()
+}
+
 // UnderlayerConn returns nil: the reader has no connection of its own.
 func (r *reader) UnderlayerConn() net.Conn { return nil }
 
--- a/internal/forwarder/serverconn.go
+++ b/internal/forwarder/serverconn.go
@@ -33,6 +33,8 @@
 
 func (s *serverConn) isHead() bool { return false }
 
+func (s *serverConn) expects() bool { return true }
+
 func (s *serverConn) onHead(m *message) error {
 	if !s.fromPeer && m.fieldBytes > s.forwarder.callerLimits().headerBytes {
 		return &Error{Operation: "read", Kind: KindTooLarge, Detail: "header"}
@@ -69,7 +71,7 @@
 	return nil
 }
 
-func (s *serverConn) onEnd() error {
+func (s *serverConn) onEnd(bool) error {
 	x := s.reading
 	s.reading = nil
 	x.request.complete = true
