Forwarder: a response that starts over is not taken for a whole one

What callers would see: a success whose body is a part of the response followed by the beginning of the same response. An upstream that stops amid a response and then sends all of it again fills the stated length with the repeated head.

Change: after a response, only the beginning of another one may arrive with its end; other bytes show that its length can't be relied on. Where chunks happen to fit, the entry node finds the head of a response to the same call in the buffered body. Either is handled like a lost response: idempotent calls are retried, others get a 502 that says that they may have run.

--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"net/http"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/checker"
@@ -50,6 +51,17 @@
 	}
 }
 
+// startsOver reports whether the buffered response contains the head of another response to the call: its upstream has sent
+// a part of the response, then the whole, and the part's length was filled with the beginning of the whole.
+func (x *exchange) startsOver() bool {
+	id := x.requestID()
+	if x.buffered == nil || id == "" {
+		return false
+	}
+	rest, found := afterStatusLine(x.buffered.body)
+	return found && bytes.Contains(rest, []byte(id))
+}
+
 // sendBuffered sends the buffered response, which must be complete, with its length instead of chunks.
 func (x *exchange) sendBuffered() {
 	r := x.buffered
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -244,6 +244,8 @@
 	a.recordResult(now, outcome)
 	a.finish()
 	switch {
+	case x.startsOver():
+		x.retryUnknown(reasonGarbled)
 	case a.suppressed == nil:
 		x.writeEnd(outcome)
 	case outcome == runNo:
@@ -259,6 +261,8 @@
 func (x *exchange) onLocalResponseEnd(a *attempt) {
 	a.finish()
 	switch {
+	case x.startsOver():
+		x.retryUnknown(reasonGarbled)
 	case a.suppressed == nil:
 		if a.response.status < http.StatusMultipleChoices {
 			x.forwarder.recordResponseBytes(x.route, a.received)
@@ -269,7 +273,7 @@
 		a.markNotRun()
 		x.retryNotRun(reasonUpstreamRefused)
 	case a.responseClass == responseInvalid:
-		x.retryUnknown("upstream-garbled")
+		x.retryUnknown(reasonGarbled)
 	default:
 		x.retryUnknown("upstream-failed")
 	}
--- a/internal/forwarder/reader.go
+++ b/internal/forwarder/reader.go
@@ -188,6 +188,9 @@
 		n = int(min(int64(n), r.remaining))
 		r.remaining -= int64(n)
 	}
+	if r.remaining == 0 && !r.mayFollow(data[n:]) {
+		return n, errSurplus()
+	}
 	if n > 0 {
 		if err := r.passBody(data[:n]); err != nil {
 			return n, err
@@ -212,6 +215,17 @@
 	return r.handler.onBody(r.collected)
 }
 
+// mayFollow reports whether input may follow a message at once. After a response, only another one may: other bytes show
+// that the response's length can't be relied on, since a repeated response may have taken the place of its end.
+func (r *reader) mayFollow(input []byte) bool {
+	n := min(len(input), len(protocolPrefix))
+	return !r.client || string(input[:n]) == protocolPrefix[:n]
+}
+
+func errSurplus() error {
+	return &Error{Operation: "parse", Kind: KindMalformed, Detail: "surplus input after a response"}
+}
+
 func (r *reader) feedChunks(data []byte) (int, error) {
 	n, err := r.chunks.decode(data, r.handler.onBody)
 	if err != nil {
@@ -220,6 +234,9 @@
 	if !r.chunks.done() {
 		return n, nil
 	}
+	if !r.mayFollow(data[n:]) {
+		return n, errSurplus()
+	}
 	r.reset()
 	return n, r.end(n < len(data))
 }
--- a/internal/forwarder/retry.go
+++ b/internal/forwarder/retry.go
@@ -14,6 +14,8 @@
 	defaultAttempts = 2
 	// reasonUpstreamRefused is the refusal by an upstream itself. A retry after it is charged to the retry budget.
 	reasonUpstreamRefused = "upstream-refused"
+	// reasonGarbled is a response of an upstream that can't be relied on.
+	reasonGarbled = "upstream-garbled"
 )
 
 // replayable reports whether the whole request is still available to be sent again.
@@ -99,6 +101,7 @@
 func (x *exchange) retryUnknown(reason string, pairs ...any) {
 	x.logCall(x.forwarder.callLog.retries, "attempt failed", append([]any{"reason", reason}, pairs...)...)
 	x.cancelAttempts()
+	x.buffered = nil
 	if x.idempotent && x.takeRetry() {
 		x.dispatch()
 		return
