Forwarder: a silent call goes to another upstream, never twice to one

Cause: a node that suspected a reused connection to its upstream sent the call again over a new one. The upstream may still run the first. Change: the call is given up and taken by another upstream, which the retry budget is charged for; without an alternative it keeps waiting. A leaving node waits, as it does for other nodes.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -113,8 +113,6 @@
 	lastRefusal string
 	// claimedAttempt is the attempt that claim asks about.
 	claimedAttempt *attempt
-	// freshConn requests a new connection to the local upstream.
-	freshConn bool
 
 	// reservations counts the other nodes that have reserved the call's key.
 	reservations int
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -146,7 +146,7 @@
 	f := x.forwarder
 	l := f.local.upstream
 	f.common.Checker.Assert(!f.local.draining(), checker.NoCallToDraining, "call %x sent to a draining upstream", x.id)
-	a := &attempt{exchange: x, kind: kindCall, fresh: x.freshConn, reservedBytes: f.responseBytes[x.route.Name],
+	a := &attempt{exchange: x, kind: kindCall, reservedBytes: f.responseBytes[x.route.Name],
 		incarnation: l.Incarnation()}
 	f.recordSend(time.Now())
 	f.link.Reserve(a.reservedBytes)
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -58,21 +58,18 @@
 	}
 }
 
-// checkUpstreamSilence resends an idempotent call over a new connection if the local upstream has not answered it for
-// long, but has answered other calls since it was sent: then the reused connection is probably broken.
+// checkUpstreamSilence gives up an idempotent call if the local upstream has not answered it for long, but has answered
+// other calls since it was sent: then the reused connection is probably broken. Another upstream takes the call; this one is
+// not sent it again, since it may still run it.
 func (x *exchange) checkUpstreamSilence(a *attempt, now time.Time) {
 	f := x.forwarder
 	silence := max(f.common.Settings.SilenceAfter, silenceServiceTimes*f.admitter.ServiceTimeOf(x.route.Name))
 	if now.Sub(a.began) < silence {
 		return
 	}
-	if !x.idempotent || !a.conn.reused || x.arrivals >= x.maxAttempts() || !x.replayable() ||
-		!f.local.lastResponseAt.After(a.began) || !f.admitter.RateAllows(now) {
+	if !x.idempotent || !a.conn.reused || !f.local.lastResponseAt.After(a.began) || !f.leaveDeadline.IsZero() ||
+		x.choosesUpstream() && !x.hasAlternative() {
 		return
 	}
-	f.stats.Retries.Add(1)
-	x.logCall(f.callLog.retries, "call sent again to the same upstream", "silence", now.Sub(a.began))
-	x.freshConn = true
-	x.cancelAttempts()
-	x.admitLocal()
+	x.retryUnknown("upstream-silent", "silence", now.Sub(a.began))
 }
--- a/internal/forwarder/stats.go
+++ b/internal/forwarder/stats.go
@@ -15,7 +15,7 @@
 	Relayed atomic.Uint64
 	// Answered counts complete responses of the local upstream.
 	Answered atomic.Uint64
-	// Retries counts repeated attempts, both those charged to a retry budget and those over a fresh connection.
+	// Retries counts repeated attempts that were charged to a retry budget.
 	Retries atomic.Uint64
 	// Claims counts requests for the outcome of an attempt.
 	Claims atomic.Uint64
