Forwarder: no response that is not forwarded is read without end

Another operator's report: a backend sent bytes without end, the machine that had called it kept them all, and the requests of other clients ended with it. Here they were not kept, but responses that nobody gets were read as long as the upstream sent them: a late response to another request, which is discarded; a failure, an invalid response or a refusal, which leads to another try; and a node's refusal of a call, a claim or a reservation. The call waited for their end, at most to its deadline, and a failure of more than 256 KiB was read to its end although it is not kept.

A failure that is not retried is streamed to the caller, with flow control.

Change: maxUnforwardedBytes, 256 KiB, limits what is read of the body of such a response. Beyond it, or at once if the head states a longer body, the connection is closed. After a discarded response the call goes on as after a lost one. A suppressed response is handled by its head, as if it were complete, with two exceptions: a failure is not kept as fallback, and an upstream's refusal no longer proves that the call has not run, so that a non-idempotent call gets an unknown outcome and is not sent again. Such a failure counts as a response of the upstream, not as a broken connection, so that its request is not suspected of a crash.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -81,6 +81,8 @@
 	// failure is the suppressed response while it is read, if it is a failure of the upstream itself. It becomes the
 	// call's fallback only once it is complete: a cancelled or lost attempt leaves none.
 	failure *bufferedResponse
+	// responseCut is set if the rest of a response that is not forwarded is not read, because it is too long.
+	responseCut bool
 	// responseClass is the meaning of the local upstream's response.
 	responseClass responseClass
 	// reservedBytes is the expected length of the local upstream's response, which is reserved on the link.
@@ -264,12 +266,16 @@
 	}
 }
 
-// onLost is called when the connection closed before the response was complete.
+// onLost is called when the connection closed before the response was complete. A suppressed response that this node has
+// cut is handled like a complete one: what it leads to depends on its head.
 func (a *attempt) onLost(err error) {
-	if a.ended {
-		return
+	switch {
+	case a.ended:
+	case a.responseCut && a.suppressed != nil:
+		a.exchange.onResponseEnd(a)
+	default:
+		a.exchange.onAttemptLost(a, err)
 	}
-	a.exchange.onAttemptLost(a, err)
 }
 
 func (a *attempt) onDialFailed(err error) {
--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -63,23 +63,17 @@
 	x.flushBuffered()
 }
 
-// bufferFailure appends a part of the body to the failure response that may become the call's fallback. A failure
-// response that is too long is dropped.
+// bufferFailure appends a part of the body to the failure response that may become the call's fallback. Its length is
+// limited by maxUnforwardedBytes.
 func (a *attempt) bufferFailure(data []byte) {
-	r := a.failure
-	if r == nil {
-		return
-	}
-	if len(r.body)+len(data) > maxBufferedResponseBytes {
-		a.failure = nil
-		return
+	if r := a.failure; r != nil {
+		r.body = append(r.body, data...)
 	}
-	r.body = append(r.body, data...)
 }
 
-// keepFailure makes the attempt's failure response, which has been read completely, the call's fallback.
+// keepFailure makes the attempt's failure response the call's fallback if it has been read completely.
 func (a *attempt) keepFailure() {
-	if a.failure != nil {
+	if a.failure != nil && !a.responseCut {
 		a.exchange.fallback = a.failure
 	}
 }
--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -18,6 +18,8 @@
 	response *message
 	// skippedStale is set once a late response to an earlier request has been discarded.
 	skippedStale bool
+	// unforwardedBytes counts the bytes read of the current response's body if that is not forwarded.
+	unforwardedBytes int64
 }
 
 // keepAliveMargin is how long before the end of the server's timeout an idle connection is no longer used, so that no
@@ -64,7 +66,7 @@
 	}
 	c.response = m
 	c.attempt.onResponseHead(m)
-	return nil
+	return c.limitUnforwarded(m)
 }
 
 // skipStale discards a late response to an earlier request; the expected one follows it. It fails if one has been
@@ -75,10 +77,13 @@
 	}
 	c.skippedStale = true
 	c.response = nil
-	return nil
+	return c.limitUnforwarded(m)
 }
 
 func (c *clientConn) onBody(data []byte) error {
+	if err := c.countUnforwarded(int64(len(data))); err != nil {
+		return err
+	}
 	if c.attempt != nil && c.response != nil {
 		c.attempt.onResponseBody(data)
 	}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -216,7 +216,7 @@
 		x.canTryAnother() && x.forwarder.budget(x.service, x.route.Class).CanWithdraw()
 }
 
-// onResponseEnd is called when an attempt's response has been read completely.
+// onResponseEnd is called when an attempt's response has been read completely, or cut.
 func (x *exchange) onResponseEnd(a *attempt) {
 	now := time.Now()
 	if x.attempt == a {
@@ -255,7 +255,8 @@
 	}
 }
 
-// onLocalResponseEnd handles the end of a complete response of the local upstream.
+// onLocalResponseEnd handles the end of a response of the local upstream. A refusal that has been cut is invalid, and is no
+// proof that the call has not run.
 func (x *exchange) onLocalResponseEnd(a *attempt) {
 	a.finish()
 	switch {
@@ -264,11 +265,11 @@
 			x.forwarder.recordResponseBytes(x.route, a.received)
 		}
 		x.writeEnd("")
-	case a.responseClass == responseNotExecuted:
+	case a.responseClass == responseNotExecuted && !a.responseCut:
 		x.forwarder.countRefused(a)
 		a.markNotRun()
 		x.retryNotRun(reasonUpstreamRefused)
-	case a.responseClass == responseInvalid:
+	case a.responseClass != responseValid:
 		x.retryUnknown("upstream-garbled")
 	default:
 		x.retryUnknown("upstream-failed")
--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,21 +21,36 @@
 	endlessBytes = 64 << 20
 )
 
-// endlessSender writes a head, then repeats a piece until the connection is closed. It counts the bytes of the pieces.
+// endlessSender writes a head, in which it replaces idPlaceholder by the request's ID, then repeats a piece until the
+// connection is closed. It counts the bytes of the pieces.
 type endlessSender struct {
 	head, piece string
 	written     atomic.Int64
-	ended       chan struct{}
+	// ended is closed once the first of the connections has ended.
+	ended     chan struct{}
+	closeOnce sync.Once
 }
 
-func (e *endlessSender) serve(w http.ResponseWriter, _ *http.Request) {
+// idPlaceholder stands for the request's ID in the head of an endlessSender.
+const idPlaceholder = "{id}"
+
+func newEndlessSender(head, piece string) *endlessSender {
+	return &endlessSender{head: head, piece: piece, ended: make(chan struct{})}
+}
+
+func (e *endlessSender) serve(w http.ResponseWriter, r *http.Request) {
 	c, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
+	e.send(c, r.Header.Get("X-Id"))
+}
+
+// send sends the response to the request with an ID.
+func (e *endlessSender) send(c net.Conn, id string) {
 	defer func() { _ = c.Close() }()
-	defer close(e.ended)
-	_, _ = io.WriteString(c, e.head)
+	defer e.closeOnce.Do(func() { close(e.ended) })
+	_, _ = io.WriteString(c, strings.ReplaceAll(e.head, idPlaceholder, id))
 	piece := bytes.Repeat([]byte(e.piece), 1+4096/len(e.piece))
 	for e.written.Load() < endlessBytes {
 		n, err := c.Write(piece)
@@ -44,6 +61,17 @@
 	}
 }
 
+// assertCutOff checks that the connection of an endless response is closed long before its sender gives up.
+func (e *endlessSender) assertCutOff(t *testing.T) {
+	t.Helper()
+	select {
+	case <-e.ended:
+	case <-time.After(endlessTimeout):
+		t.Fatalf("the connection was not closed after %d bytes", e.written.Load())
+	}
+	qt.Assert(t, e.written.Load() < endlessBytes, qt.IsTrue, qt.Commentf("%d bytes were read", e.written.Load()))
+}
+
 // TestEndlessInvalidResponses lets an upstream send an endless invalid response: its connection must be closed, and the
 // error response to the caller must not claim that the payment has not run.
 func TestEndlessInvalidResponses(t *testing.T) {
@@ -56,7 +84,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			e := &endlessSender{head: test.head, piece: test.piece, ended: make(chan struct{})}
+			e := newEndlessSender(test.head, test.piece)
 			entry, _, _ := pair(t, e.serve)
 			began := time.Now()
 			r := do("POST", entry.url("/post"), "pay")
@@ -64,12 +92,7 @@
 			if r.err == nil && r.status != http.StatusOK {
 				qt.Assert(t, r.run, qt.Equals, "unknown")
 			}
-			select {
-			case <-e.ended:
-			case <-time.After(endlessTimeout):
-				t.Fatal("the upstream's connection was not closed")
-			}
-			qt.Assert(t, e.written.Load() < endlessBytes, qt.IsTrue)
+			e.assertCutOff(t)
 		})
 	}
 }
@@ -78,7 +101,7 @@
 // must be closed as well.
 func TestEndlessBodyEndsWithTheCaller(t *testing.T) {
 	const readBytes = 4 << 20
-	e := &endlessSender{head: "HTTP/1.1 200 OK\r\n\r\n", piece: "x", ended: make(chan struct{})}
+	e := newEndlessSender("HTTP/1.1 200 OK\r\n\r\n", "x")
 	entry, _, _ := pair(t, e.serve)
 	callers, _ := entry.Addresses()
 	c, err := net.Dial("tcp", callers)
@@ -88,10 +111,5 @@
 	_, err = io.CopyN(io.Discard, c, readBytes)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, c.Close(), qt.IsNil)
-	select {
-	case <-e.ended:
-	case <-time.After(endlessTimeout):
-		t.Fatal("the upstream's connection was not closed")
-	}
-	qt.Assert(t, e.written.Load() < endlessBytes, qt.IsTrue)
+	e.assertCutOff(t)
 }
