Forwarder: a call without its caller ends once its response can't be kept

A non-idempotent call that another node sent, or one with a key, continues when its caller leaves, since its response is kept for a claim or a repeated key. Responses of more than 64 KiB are not kept, but the call continued: an endless one was read at full speed until the deadline, or, if reading was paused when the caller left, held its slot until then. On a node that does not own the key, nothing is kept once the response has begun.

Change: the call continues only while its response has not begun or is being saved. Else it ends like one whose caller leaves: the connection is closed and the outcome is unknown. A claim and a repeated key get "answer-lost" as before, but sooner.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -258,6 +258,9 @@
 	if x.writeBody(data) {
 		a.conn.conn.pause()
 	}
+	if x.caller.disconnected() && !x.ended {
+		x.cancelUnattended()
+	}
 }
 
 func (a *attempt) onResponseEnd() {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -202,6 +202,11 @@
 		x.ended = true
 		return
 	}
+	x.cancelUnattended()
+}
+
+// cancelUnattended ends a call that has no caller, unless it continues without one.
+func (x *exchange) cancelUnattended() {
 	if x.outlivesCaller() {
 		return
 	}
@@ -215,10 +220,17 @@
 }
 
 // outlivesCaller reports whether the call continues without its caller, because its response is kept for a node or
-// a caller that asks for it later. A call that still waits for a slot does not continue.
+// a caller that asks for it later. A call that still waits for a slot does not continue, nor does one whose response has
+// begun and is not saved.
 func (x *exchange) outlivesCaller() bool {
 	a := x.attempt
-	return !x.idempotent && a != nil && a.sent && x.request.complete && (a.local() && x.entry != nil || x.key != "")
+	return !x.idempotent && a != nil && a.sent && x.request.complete && x.mayKeepResponse() &&
+		(a.local() && x.entry != nil || x.key != "")
+}
+
+// mayKeepResponse reports whether the response has not begun, or is being saved.
+func (x *exchange) mayKeepResponse() bool {
+	return !x.headSent || x.saved != nil && !x.saved.bodyOmitted
 }
 
 // cancelAttempts cancels the attempt and the claim in progress and leaves the admitter's queue.
