Forwarder: count long pieces of a head as well

The reader did not count pieces of 64 KiB or more of an incomplete head, and a connection is read in pieces of at most 64 KiB. From a fast sender, an endless status line or header line was therefore kept up to the parser's limit of 1 MiB, on each connection.

Change: all pieces are counted, so that a head is refused with the first piece after its 32 KiB. No valid input is affected: an incomplete head after such a piece is too long.

Test: TestEndlessHeadIsLimited, seven heads without an end in pieces of four lengths, failed before for six heads in pieces of 65536 ("983040 bytes were read", or 1048576). FuzzReader ran for 21 s without a finding.

--- a/internal/forwarder/reader.go
+++ b/internal/forwarder/reader.go
@@ -135,15 +135,13 @@
 	return r.err
 }
 
-// countHeadBytes counts the received bytes of an incomplete head, so that parse also limits a head that arrives in
-// small pieces without one complete line. Pieces of maxBufferedBodyBytes or more are not counted.
+// countHeadBytes counts the received bytes of an incomplete head, so that parse also limits a head that arrives without
+// one complete line.
 func (r *reader) countHeadBytes(n int) {
 	if r.message == nil {
 		r.message = &message{length: -1}
 	}
-	if n < maxBufferedBodyBytes {
-		r.message.receivedBytes += n
-	}
+	r.message.receivedBytes += n
 }
 
 func (r *reader) feedRaw(data []byte) (int, error) {
--- a/internal/forwarder/reader_test.go
+++ b/internal/forwarder/reader_test.go
@@ -61,3 +61,31 @@
 		}
 	})
 }
+
+// TestEndlessHeadIsLimited feeds the starts of heads that never end, in pieces of several lengths: the reader must fail
+// before it has got two pieces more than maxHeaderBytes.
+func TestEndlessHeadIsLimited(t *testing.T) {
+	heads := map[string]struct{ start, fill string }{
+		"version":       {"HTTP/1.1", "1"},
+		"status":        {"HTTP/1.1 ", "x"},
+		"reason phrase": {"HTTP/1.1 200 OK", "x"},
+		"key":           {"HTTP/1.1 200 OK\r\nX", "x"},
+		"value":         {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"blank value":   {"HTTP/1.1 200 OK\r\nX:", " "},
+		"fields":        {"HTTP/1.1 200 OK\r\n", "X: 1\r\n"},
+	}
+	for name, head := range heads {
+		for _, size := range []int{100, maxHeaderBytes, maxBufferedBodyBytes - 1, readBufferBytes} {
+			t.Run(fmt.Sprintf("%s, pieces of %d", name, size), func(t *testing.T) {
+				r := newReader(&recordingHandler{}, true)
+				qt.Assert(t, r.feed([]byte(head.start)), qt.IsNil)
+				piece := []byte(strings.Repeat(head.fill, size)[:size])
+				fed := 0
+				for fed <= parserReadLimit && r.feed(piece) == nil {
+					fed += size
+				}
+				qt.Assert(t, fed <= maxHeaderBytes+size, qt.IsTrue, qt.Commentf("%d bytes were read", fed))
+			})
+		}
+	}
+}
