Forwarder: a discarded response does not hide the response to the call

What callers would see: a second response with other content in place of the first. The body of a cut late response to another call included the whole response to the call in progress, so that its second response was the next on the connection.

Change: a discarded body that has the head of a response to the call in it makes the response malformed; the call is lost, not misled. TestDiscardedResponseHidesNoOther failed before in the case where the lengths fit, and passes now.

--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -53,12 +53,15 @@
 
 // startsOver reports whether the buffered response contains the head of another response to the call: its upstream has sent
 // a part of the response, then the whole, and the part's length was filled with the beginning of the whole.
-func (x *exchange) startsOver() bool {
+func (x *exchange) startsOver() bool { return x.buffered != nil && x.hasResponseHead(x.buffered.body) }
+
+// hasResponseHead reports whether a body contains the head of a response to the call, as far as its ID.
+func (x *exchange) hasResponseHead(body []byte) bool {
 	id := x.requestID()
-	if x.buffered == nil || id == "" {
+	if id == "" {
 		return false
 	}
-	rest, found := afterStatusLine(x.buffered.body)
+	rest, found := afterStatusLine(body)
 	return found && bytes.Contains(rest, []byte(id))
 }
 
--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -92,8 +92,12 @@
 	if err := c.countUnforwarded(int64(len(data))); err != nil {
 		return err
 	}
-	if c.attempt != nil && c.response != nil {
+	switch {
+	case c.attempt == nil:
+	case c.response != nil:
 		c.attempt.onResponseBody(data)
+	case c.attempt.exchange.hasResponseHead(data):
+		return &Error{Operation: "read", Kind: KindMalformed, Detail: "response within a discarded one"}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/forwarder/swallowed_test.go
@@ -0,0 +1,61 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// swallower is an upstream that sends a second response to the call with the ID 1 when the next call has arrived, and cuts
+// its body. The response to that call follows, whose bytes the body's length then includes, and a second one with other
+// content under the same ID.
+type swallower struct{ bodyBytes int }
+
+const (
+	swallowedResponse = "HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nfirst"
+	secondContent     = "HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Seal: s\r\nContent-Length: 6\r\n\r\nsecond"
+)
+
+func (s swallower) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	input := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(input)
+		if err != nil {
+			return
+		}
+		if r.Header.Get("X-Id") == "1" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\ndone")
+			continue
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n", s.bodyBytes)
+		_, _ = io.WriteString(c, swallowedResponse)
+		time.Sleep(secondDelay)
+		_, _ = io.WriteString(c, secondContent)
+	}
+}
+
+// TestDiscardedResponseHidesNoOther lets the body of a discarded response include the response to the call in progress: a
+// second response with other content must not take its place.
+func TestDiscardedResponseHidesNoOther(t *testing.T) {
+	for _, bodyBytes := range []int{len(swallowedResponse), len(swallowedResponse) - 1, len(swallowedResponse) - len("first"), strings.Index(swallowedResponse, "X-Seal")} {
+		t.Run(fmt.Sprint(bodyBytes), func(t *testing.T) {
+			n := newNodeWith(t, "entry", sealedDialect())
+			u := &upstreamServer{address: serveConnections(t, swallower{bodyBytes}.serve)}
+			local := u.local("v1")
+			local.Connections = 1
+			n.publish(snapshotConfig{endpoints: n.endpoints("v1"), local: local, timeoutMs: 1000, attempts: 1})
+			qt.Assert(t, do("GET", n.url("/get"), "", "X-Id", "1").status, qt.Equals, 200)
+			time.Sleep(idleTime)
+			r := do("GET", n.url("/get"), "", "X-Id", "2", "X-Time-Left", "300")
+			qt.Assert(t, r.err == nil && r.status < 300 && r.body != "first", qt.IsFalse, qt.Commentf("%+v", r))
+		})
+	}
+}
