Forwarder: a refused reservation holds although its connection is lost

Found while endless responses to reservations were tested. If the connection was lost after the head of a node's response to a reservation, the node was skipped as if it had not responded. If the head said that the key was taken, and a third node reserved it, the key's owner ran the call, which may have run before.

Change: a complete head of such a response holds, with or without its body.

Test: TestTakenKeyIsNotRunAfterLostRefusal, on real connections; before, the call ran and the caller got 200 "paid".

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -302,7 +302,7 @@
 		return
 	case kindReserve:
 		a.finish()
-		x.onReserveLost()
+		x.onReserveLost(a)
 		return
 	}
 	if a.local() {
--- a/internal/forwarder/keys.go
+++ b/internal/forwarder/keys.go
@@ -170,9 +170,14 @@
 	}
 }
 
-// onReserveLost skips a node whose connection failed before it responded to the reservation.
-func (x *exchange) onReserveLost() {
-	if !x.ended {
+// onReserveLost is called when the connection of a reservation failed before the response was complete. A node that has not
+// responded is skipped. Else the head of its response holds, so that a key is not used although it is taken.
+func (x *exchange) onReserveLost(a *attempt) {
+	switch {
+	case x.ended:
+	case a.suppressed != nil:
+		x.onReserveEnd(a)
+	default:
 		x.reserveNext()
 	}
 }
--- a/internal/forwarder/run_test.go
+++ b/internal/forwarder/run_test.go
@@ -318,6 +318,30 @@
 	}
 }
 
+// TestTakenKeyIsNotRunAfterLostRefusal cuts a node's refusal to reserve a key, which is taken, after its head: the key's owner
+// must not run the call, although a third node reserves the key.
+func TestTakenKeyIsNotRunAfterLostRefusal(t *testing.T) {
+	const keys = 8
+	p := newScriptedPeer(t, func(operation string, w net.Conn) bool {
+		if operation == "reserve" {
+			_, _ = io.WriteString(w, nodeRefusal("409", "unknown")+"Content-Length: 6\r\n\r\n")
+		}
+		return false
+	})
+	nodes, u, snapshot := keyedMesh(t, 2, respondWith("paid"))
+	snapshot.endpoints = append(snapshot.endpoints, endpoint("peer", "v1", p.address))
+	for _, n := range nodes {
+		n.publish(snapshot)
+	}
+	// Some of the keys are owned by a real node.
+	for i := range keys {
+		r := do("POST", nodes[0].url("/post"), "pay", "Idempotency-Key", fmt.Sprint(i))
+		qt.Assert(t, r.run, qt.Equals, "unknown", qt.Commentf("%+v", r))
+	}
+	qt.Assert(t, p.operations(), qt.Contains, "reserve")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(0))
+}
+
 // TestRolloutShare checks that the new version gets its share of 100 calls, give or take one.
 func TestRolloutShare(t *testing.T) {
 	entry := newNode(t, "entry")
