--- a/internal/forwarder/unattended_test.go
+++ b/internal/forwarder/unattended_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -68,6 +69,32 @@
 	eventually(t, "the sidecar's call has ended", func() bool { return sidecar.Stats().Cancelled.Load() == 1 })
 }
 
+// TestEndlessFailureIsStreamed sends an endless failure to a non-idempotent call, which is not retried: the caller must get
+// it as fast as it reads, and the upstream's connection must be closed once the caller leaves.
+func TestEndlessFailureIsStreamed(t *testing.T) {
+	const (
+		readBytes = 1 << 20
+		pause     = 300 * time.Millisecond
+	)
+	for name, framing := range framings {
+		t.Run(name, func(t *testing.T) {
+			e := endlessBody(suppressedHeads["failure"], framing)
+			entry := sealedMesh(t, 20_000, e.serve, e.serve)
+			c := startPost(t, entry, "X-Id: 1\r\n")
+			reader := bufio.NewReader(c)
+			line, err := reader.ReadString('\n')
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, line, qt.Contains, " 500 ")
+			_, err = io.CopyN(io.Discard, reader, readBytes)
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(pause)
+			qt.Assert(t, e.written.Load() < endlessBytes, qt.IsTrue, qt.Commentf("%d bytes were read", e.written.Load()))
+			qt.Assert(t, c.Close(), qt.IsNil)
+			e.assertCutOff(t)
+		})
+	}
+}
+
 // TestKeyedResponseWithoutCaller closes the caller's connection before the upstream responds to a keyed call: its response
 // is kept for the next call with the key if it is short enough, and never read without end.
 func TestKeyedResponseWithoutCaller(t *testing.T) {
