--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -306,7 +306,7 @@
 		return
 	case kindReserve:
 		a.finish()
-		x.onReserveLost()
+		x.onReserveLost(a)
 		return
 	}
 	if a.local() {
