--- a/internal/standin/harness/mesh.go
+++ b/internal/standin/harness/mesh.go
@@ -94,13 +94,13 @@
 		return nil, err
 	}
 	const portsPerVM = 7
-	addresses, err := allocateAddresses(1 + portsPerVM*len(c.Specs))
+	addresses, err := AllocateAddresses(1 + portsPerVM*len(c.Specs))
 	if err != nil {
 		return nil, err
 	}
 	m := &Mesh{config: c, LogURL: "http://" + addresses[0], Requester: requester.New(engine),
 		LedgerPath: filepath.Join(c.Dir, "ledger")}
-	m.Log, err = start(c.Dir, "log", c.Standin, "log", "--listen="+addresses[0],
+	m.Log, err = StartProcess(c.Dir, "log", c.Standin, "log", "--listen="+addresses[0],
 		"--file="+filepath.Join(c.Dir, "records"))
 	if err != nil {
 		return nil, err
@@ -132,7 +132,7 @@
 	listen := vm.Peer
 	if s.Relayed {
 		// The node listens behind the relay and advertises the relay's address to the others.
-		vm.Relay, err = start(m.config.Dir, s.Name+"-relay", m.config.Standin, "relay", "--listen="+vm.Peer,
+		vm.Relay, err = StartProcess(m.config.Dir, s.Name+"-relay", m.config.Standin, "relay", "--listen="+vm.Peer,
 			"--target="+relayAddress, "--control="+vm.RelayControl)
 		if err != nil {
 			return err
@@ -150,11 +150,11 @@
 			arguments = append(arguments, "--peer="+m.VMs[len(m.VMs)/2].Control)
 		}
 	}
-	vm.Node, err = start(m.config.Dir, s.Name, m.config.Product, append(arguments, s.NodeFlags...)...)
+	vm.Node, err = StartProcess(m.config.Dir, s.Name, m.config.Product, append(arguments, s.NodeFlags...)...)
 	if err != nil || s.Service == "" {
 		return err
 	}
-	vm.Upstream, err = start(m.config.Dir, s.Name+"-upstream", m.config.Standin, append([]string{"upstream", "--name=" + s.Name,
+	vm.Upstream, err = StartProcess(m.config.Dir, s.Name+"-upstream", m.config.Standin, append([]string{"upstream", "--name=" + s.Name,
 		"--service=" + s.Service, "--version=" + s.Version, "--listen=" + vm.UpstreamAddress, "--node=" + vm.Admin,
 		"--ledger=" + m.LedgerPath}, s.UpstreamFlags...)...)
 	return err
--- a/internal/standin/harness/ports.go
+++ b/internal/standin/harness/ports.go
@@ -25,9 +25,9 @@
 	nextPort.Store(int64(os.Getpid()) * portsPerProcess % (lastPort - firstPort))
 }
 
-// allocateAddresses returns n loopback addresses with free ports. This process does not allocate a port again
+// AllocateAddresses returns n loopback addresses with free ports. This process does not allocate a port again
 // until it has tried the whole range.
-func allocateAddresses(n int) ([]string, error) {
+func AllocateAddresses(n int) ([]string, error) {
 	var addresses []string
 	for range lastPort - firstPort {
 		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
--- a/internal/standin/harness/process.go
+++ b/internal/standin/harness/process.go
@@ -22,8 +22,8 @@
 	exitCode int
 }
 
-// start starts a program. Its output is appended to the file NAME.log in dir.
-func start(dir, name, binary string, arguments ...string) (*Process, error) {
+// StartProcess starts a program. Its output is appended to the file NAME.log in dir.
+func StartProcess(dir, name, binary string, arguments ...string) (*Process, error) {
 	p := &Process{Name: name, args: arguments, dir: dir, binary: binary}
 	return p, p.Restart()
 }
--- a/internal/standin/standinapp/standinapp.go
+++ b/internal/standin/standinapp/standinapp.go
@@ -28,6 +28,7 @@
 	Relay    relayCommand    `cmd:"" help:"Relay TCP connections and inject network faults."`
 	Demo     demoCommand     `cmd:"" help:"Run the whole system on one machine and check its main guarantees."`
 	Soak     soakCommand     `cmd:"" help:"Run a mesh under random load, failures and operator actions."`
+	Stutter  stutterCommand  `cmd:"" help:"Run a mesh of the users' platform beside upstreams that respond twice, late or in part."`
 	Bench    benchCommand    `cmd:"" help:"Measure the system, in part against simpler baselines."`
 }
 
--- /dev/null
+++ b/internal/standin/stutterer/disruption.go
@@ -0,0 +1,8 @@
+package stutterer
+
+type disruption struct {
+	vm   *vm
+	kind int
+}
+
+func (d *disruption) run() {}
