Stutterer: disruptions, one type a file, timelines of the cases

Change: nodes are killed or ended and restarted, connections reset, upstreams replaced, VMs replaced by ones of another service at the same addresses; requests are judged 8 s after they were last heard of, with all of their runs.

--- a/internal/standin/stutterer/answer.go
+++ b/internal/standin/stutterer/answer.go
@@ -1,22 +1,15 @@
 package stutterer
 
-import "fmt"
-
 // answer is what a caller received for a request.
 type answer struct {
 	status int
 	seal   string
-	// whole is set if the body is complete and is the one that belongs to the seal.
+	// whole is set if the body is the one that belongs to the seal.
 	whole bool
-	// lost is set if the connection ended, or the caller left, before the response was complete.
-	lost bool
-	// malformed describes bytes that are not an HTTP response, or bytes after the response, or is empty.
-	malformed string
-	detail    string
-}
-
-func (a answer) String() string {
-	return fmt.Sprintf("status %d seal %q whole %t lost %t malformed %q %s", a.status, a.seal, a.whole, a.lost, a.malformed, a.detail)
+	// lost is why the caller got no complete answer, or empty.
+	lost string
+	// malformed is set if the caller got bytes that are no answer, or got them with no request waiting.
+	malformed bool
 }
 
-func (a answer) success() bool { return !a.lost && a.status >= 200 && a.status < 300 }
+func (a answer) success() bool { return a.lost == "" && a.status >= 200 && a.status < 300 }
--- a/internal/standin/stutterer/disruption.go
+++ b/internal/standin/stutterer/disruption.go
@@ -1,8 +1,79 @@
 package stutterer
 
+import (
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/harness"
+)
+
+// kind is a kind of disruption.
+type kind int
+
+// Kinds.
+const (
+	killNode kind = iota
+	terminateNode
+	resetConns
+	endUpstream
+	// replaceVM gives the addresses of a VM to another VM, of another service.
+	replaceVM
+	kinds
+)
+
+func (k kind) String() string {
+	return [...]string{"kill node", "terminate node", "reset connections", "end upstream", "replace VM"}[k]
+}
+
+const (
+	// addressReuse is the time after which addresses are used again, and maxOutage the longest time without a process.
+	addressReuse = time.Second
+	maxOutage    = 3 * time.Second
+	// terminateTimeout exceeds the time that nodes take to end.
+	terminateTimeout = 20 * time.Second
+)
+
+// disruption disrupts a VM. There is one at a time on a VM.
 type disruption struct {
-	vm   *vm
-	kind int
+	vm     *vm
+	kind   kind
+	outage time.Duration
+	// service is the service of a VM that is replaced.
+	service string
+	err     error
+	done    chan struct{}
 }
 
-func (d *disruption) run() {}
+func (d *disruption) run() {
+	defer close(d.done)
+	v := d.vm
+	if !v.node.Running() {
+		d.err = &Error{Operation: "disrupt", Detail: v.node.Name + " has ended by itself"}
+		return
+	}
+	switch d.kind {
+	case killNode:
+		v.node.Kill()
+		time.Sleep(d.outage)
+		d.err = v.node.Restart()
+	case terminateNode:
+		if !v.node.Terminate(terminateTimeout) {
+			d.err = &Error{Operation: "disrupt", Detail: v.node.Name + " does not end at SIGTERM"}
+			return
+		}
+		d.err = v.node.Restart()
+	case resetConns:
+		v.upstream.resetConns()
+	case endUpstream:
+		v.upstream.end()
+		time.Sleep(d.outage)
+		d.err = v.startUpstream()
+	case replaceVM:
+		v.upstream.end()
+		v.node.Kill()
+		time.Sleep(max(d.outage, addressReuse))
+		d.err = v.start(d.service)
+	}
+	if d.err == nil && !harness.WaitUntil(readyTimeout, v.isReady) {
+		d.err = &Error{Operation: "disrupt", Detail: v.node.Name + " does not get ready"}
+	}
+}
--- a/internal/standin/stutterer/drawer.go
+++ b/internal/standin/stutterer/drawer.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// drawer draws how an upstream treats one request. What it draws depends on its source of randomness only.
+// drawer draws requests, and how an upstream treats a request. What it draws depends on its source of randomness only.
 type drawer struct {
 	random  *rand.Rand
 	chances Chances
@@ -23,6 +23,11 @@
 	return time.Duration(d.random.Int64N(int64(limit) + 1))
 }
 
+// innerDeadline returns the deadline of a call that a run makes.
+func (d *drawer) innerDeadline() time.Duration {
+	return minInnerDeadline + d.upTo(maxInnerDeadline-minInnerDeadline)
+}
+
 // work returns how long a run takes.
 func (d *drawer) work() time.Duration {
 	if d.hit(d.chances.Slow) {
@@ -31,7 +36,7 @@
 	return d.upTo(quickWork)
 }
 
-// length returns the length of a body.
+// length returns the length of a response's body.
 func (d *drawer) length() int {
 	if d.hit(d.chances.Large) {
 		return d.random.IntN(longBody)
@@ -39,97 +44,89 @@
 	return d.random.IntN(shortBody)
 }
 
-// framing returns how a response delimits its body.
-func (d *drawer) framing() framing {
-	x := d.random.Float64()
+// response draws the form of a response of a run.
+func (d *drawer) response(r *run, status, length int) response {
+	f := response{id: r.history.id, status: status, seal: r.sealOf(status, length), length: length,
+		announceClose: d.hit(d.chances.AnnouncedClose)}
 	switch {
-	case x < d.chances.CloseDelimited:
-		return framingClose
-	case x < d.chances.CloseDelimited+d.chances.Chunked:
-		return framingChunked
+	case d.hit(d.chances.CloseDelimited):
+		f.framing = framingClose
+	case d.hit(d.chances.Chunked):
+		f.framing = framingChunked
 	}
-	return framingLength
+	return f
 }
 
-// plan draws how the response of a run is sent.
-func (d *drawer) plan(r *run, status, length int) plan {
-	response := response{id: r.history.id, status: status, seal: r.sealOf(status, length), length: length, framing: d.framing(),
-		announceClose: d.hit(d.chances.AnnouncedClose)}
-	head, body := response.encode(d)
-	p := plan{text: fmt.Sprintf("run %d decides %d, %d bytes, %s", r.number, status, length, response.framing)}
+// first draws how a response is sent.
+func (d *drawer) first(f response) script {
+	s := script{text: fmt.Sprintf("status %d, %d bytes, %s", f.status, f.length, f.framing)}
+	head, body := f.encode(d)
 	message := slices.Concat(head, body)
-	if response.announceClose || response.framing == framingClose {
-		p.first.ending = endClose
+	if f.announceClose || f.framing == framingClose {
+		s.ending = endClose
 	}
-	switch {
-	case response.framing != framingClose && d.hit(d.chances.Cut):
+	// A response that ends with its connection looks complete if it is cut off without a reset.
+	cut := d.hit(d.chances.Cut) && f.framing != framingClose
+	if reset := d.hit(d.chances.Reset); cut || reset {
 		message = message[:d.random.IntN(len(message))]
-		p.first.ending = endClose
-		p.text += fmt.Sprintf(", closed after %d bytes", len(message))
-	case d.hit(d.chances.Reset):
-		message = message[:d.random.IntN(len(message))]
-		p.first.ending = endReset
-		p.text += fmt.Sprintf(", reset after %d bytes", len(message))
+		s.ending = endClose
+		if reset {
+			s.ending = endReset
+		}
+		s.text += fmt.Sprintf(", broken off after %d bytes, reset %t", len(message), reset)
 	}
 	if d.hit(d.chances.Interim) {
 		message = slices.Concat([]byte("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"), message)
-		p.text += ", after an interim response"
+		s.text += ", after an interim response"
 	}
-	p.first.steps = []step{{data: message}}
+	pieces := 1
 	if d.hit(d.chances.Pieces) {
-		p.first.steps = d.split(message, 2+d.random.IntN(maxPieces-1))
-		p.text += ", in pieces"
-	}
-	if p.first.ending == endOpen && d.hit(d.chances.Second) {
-		p.late = d.second(r, response, &p)
+		pieces += d.random.IntN(maxPieces)
+		s.text += ", in pieces"
 	}
-	return p
+	s.steps = d.split(message, pieces)
+	return s
 }
 
-// second draws a second response after the first one.
-func (d *drawer) second(r *run, first response, p *plan) *script {
+// second draws a second response after the first one of a run.
+func (d *drawer) second(r *run, first response) script {
 	delay := d.upTo(soonDelay)
 	if d.hit(d.chances.SecondLate) {
 		delay = d.upTo(lateDelay)
 	}
-	p.text += fmt.Sprintf("; second response after %s", delay.Round(time.Millisecond))
 	if d.hit(d.chances.SecondJunk) {
 		junk := make([]byte, 1+d.random.IntN(maxJunk))
 		for i := range junk {
 			junk[i] = byte(d.random.IntN(256))
 		}
-		p.text += ": junk"
-		return &script{steps: []step{{delay, junk}}}
+		return script{steps: []step{{delay, junk}}, text: fmt.Sprintf("junk after %s", delay)}
 	}
-	response := first
+	f := first
 	if d.hit(d.chances.SecondStatus) {
-		response.status = http.StatusOK + http.StatusInternalServerError - first.status
-		p.text += fmt.Sprintf(", status %d", response.status)
+		f.status = http.StatusOK + http.StatusInternalServerError - first.status
 	}
 	if d.hit(d.chances.SecondBody) {
-		response.length = d.random.IntN(shortBody)
-		p.text += fmt.Sprintf(", %d bytes", response.length)
+		f.length = d.random.IntN(shortBody)
 	}
-	if response != first {
-		response.seal = r.sealOf(response.status, response.length)
-	}
-	head, body := response.encode(d)
+	f.seal = r.sealOf(f.status, f.length)
+	s := script{text: fmt.Sprintf("second response after %s: status %d, %d bytes", delay, f.status, f.length)}
+	head, body := f.encode(d)
 	message := slices.Concat(head, body)
 	if d.hit(d.chances.SecondCut) {
 		message = message[:d.cutAt(head, body)]
-		p.text += fmt.Sprintf(", cut after %q", tail(message))
+		s.text += fmt.Sprintf(", cut after %q", message[max(0, len(message)-tailBytes):])
 	}
-	steps := []step{{data: message}}
 	switch {
-	case len(message) > len(head) && d.hit(d.chances.SecondPieces):
-		steps = []step{{data: head}, {d.upTo(pieceDelay), message[len(head):]}}
-		p.text += ", head and body apart"
-	case d.hit(d.chances.SecondPieces):
-		steps = d.split(message, 2)
-		p.text += ", in two pieces"
-	}
-	steps[0].pause = delay
-	return &script{steps: steps}
+	case !d.hit(d.chances.SecondPieces):
+		s.steps = []step{{data: message}}
+	case len(message) > len(head) && d.hit(0.5):
+		s.steps = []step{{data: head}, {d.upTo(pieceDelay), message[len(head):]}}
+	default:
+		s.steps = d.split(message, 2)
+	}
+	s.text += fmt.Sprintf(", in %d writes", len(s.steps))
+	s.steps[0].pause = delay
+	return s
 }
 
 // cutAt draws where a response is cut off: in the status line, in the value of a field, or anywhere.
@@ -139,17 +136,14 @@
 	case 0:
 		return 1 + d.random.IntN(len(lines[0]))
 	case 1:
+		// The last two elements are the empty line and what follows it.
 		n := 1 + d.random.IntN(len(lines)-3)
-		before := len(strings.Join(lines[:n], ""))
 		value := strings.Index(lines[n], ": ") + 2
-		return before + value + d.random.IntN(len(lines[n])-value)
+		return len(strings.Join(lines[:n], "")) + value + d.random.IntN(len(lines[n])-value)
 	}
 	return 1 + d.random.IntN(len(head)+len(body)-1)
 }
 
-// tail returns the end of a message, for the timeline.
-func tail(message []byte) []byte { return message[max(0, len(message)-60):] }
-
 // split divides a message into writes at random places.
 func (d *drawer) split(message []byte, pieces int) []step {
 	var steps []step
@@ -158,7 +152,7 @@
 		steps = append(steps, step{d.upTo(pieceDelay), message[:n]})
 		message = message[n:]
 	}
-	return append(steps, step{d.upTo(pieceDelay), message})
+	return append(steps, step{data: message})
 }
 
 // chunk encodes a body in chunks of random sizes.
--- a/internal/standin/stutterer/history.go
+++ b/internal/standin/stutterer/history.go
@@ -6,36 +6,23 @@
 	"time"
 )
 
-// event is an entry of the timeline of a request.
-type event struct {
-	at   time.Time
-	text string
-}
-
-// history is all that callers and upstreams know of one request. Its ledger guards it.
+// history is what callers and upstreams know of one request. The ledger guards it.
 type history struct {
 	id         string
 	idempotent bool
 	// origin is the service on whose VM the request began.
-	origin  string
-	runs    []*run
-	answer  *answer
-	odd     []string
-	events  []event
-	touched time.Time
+	origin string
+	runs   []*run
+	// answer is nil until the caller has got one.
+	answer *answer
+	// unasked describes how the request differed from what the caller sent when it reached an upstream.
+	unasked  []string
+	timeline strings.Builder
+	touched  time.Time
 }
 
-// note adds an event. The caller holds the ledger's lock.
+// note adds a line to the timeline.
 func (h *history) note(format string, arguments ...any) {
 	h.touched = time.Now()
-	h.events = append(h.events, event{h.touched, fmt.Sprintf(format, arguments...)})
-}
-
-// timeline formats the events, one per line.
-func (h *history) timeline() string {
-	var b strings.Builder
-	for _, e := range h.events {
-		fmt.Fprintf(&b, "  %s %s\n", e.at.UTC().Format("15:04:05.000"), e.text)
-	}
-	return b.String()
+	fmt.Fprintf(&h.timeline, "%s %s\n", h.touched.UTC().Format("15:04:05.000"), fmt.Sprintf(format, arguments...))
 }
--- a/internal/standin/stutterer/ledger.go
+++ b/internal/standin/stutterer/ledger.go
@@ -3,36 +3,36 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
-)
 
-// settleTime is how long a request must have been quiet before it is judged. It exceeds every deadline and delay.
-const settleTime = 8 * time.Second
+	"github.com/hashicorp/go-hclog"
+)
 
-// ledger holds the histories of the requests that have not been judged. It is safe for concurrent use.
+// ledger holds the histories of the requests that have not been judged yet. It is safe for concurrent use.
 type ledger struct {
-	output io.Writer
+	logger hclog.Logger
 
 	mu         sync.Mutex
 	histories  map[string]*history
 	runs       int
 	counts     map[string]int
-	violations map[rule]int
+	violations map[Rule]int
 }
 
-func newLedger(output io.Writer) *ledger {
-	return &ledger{output: output, histories: map[string]*history{}, counts: map[string]int{}, violations: map[rule]int{}}
+func newLedger(logger hclog.Logger) *ledger {
+	return &ledger{logger: logger, histories: map[string]*history{}, counts: map[string]int{}, violations: map[Rule]int{}}
 }
 
 // open records that a caller sends a request.
-func (l *ledger) open(id, origin string, idempotent bool, format string, arguments ...any) *history {
+func (l *ledger) open(q request, origin, from string) *history {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h := &history{id: id, origin: origin, idempotent: idempotent}
-	l.histories[id] = h
-	h.note(format, arguments...)
+	h := &history{id: q.id, origin: origin, idempotent: q.target.idempotent}
+	h.note("%s sends it to %s on a VM of %s, with %s left", from, q.target.service, origin, q.deadline)
+	l.histories[q.id] = h
 	return h
 }
 
@@ -42,7 +42,7 @@
 	defer l.mu.Unlock()
 	h := l.histories[id]
 	if h == nil {
-		h = &history{id: id, idempotent: true, odd: []string{"no caller sent the request"}}
+		h = &history{id: id, idempotent: true, unasked: []string{"no caller sent it"}}
 		l.histories[id] = h
 	}
 	l.runs++
@@ -53,53 +53,42 @@
 }
 
 // decide records the response of a run.
-func (l *ledger) decide(r *run, status, length int) {
+func (l *ledger) decide(r *run, status, length int, text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.status, r.seal = status, r.sealOf(status, length)
+	r.history.note("run %d: %s", r.number, text)
 }
 
-// note adds an event to a request.
-func (l *ledger) note(h *history, format string, arguments ...any) {
+// note adds a line to the timeline of a run's request.
+func (l *ledger) note(r *run, text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h.note(format, arguments...)
+	r.history.note("run %d: %s", r.number, text)
 }
 
-// odd records that a request reached an upstream in a form in which it was not sent.
-func (l *ledger) odd(h *history, format string, arguments ...any) {
+// addUnasked records that a run's request differs from what its caller sent.
+func (l *ledger) addUnasked(r *run, text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h.odd = append(h.odd, fmt.Sprintf(format, arguments...))
+	r.history.unasked = append(r.history.unasked, text)
 }
 
-// close records the answer that a caller got.
+// close records the answer to a request. A history that was judged before is judged again.
 func (l *ledger) close(h *history, a answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.histories[h.id] = h
 	h.answer = &a
-	h.note("answer: %s", a)
+	h.note("answer %+v", a)
 	switch {
-	case a.lost:
-		l.counts["lost"]++
+	case a.lost != "":
+		l.counts["answers-lost"]++
 	case a.seal == "":
-		l.counts[fmt.Sprintf("%d-of-node", a.status)]++
+		l.counts[fmt.Sprintf("answers-%d-of-node", a.status)]++
 	default:
-		l.counts[fmt.Sprint(a.status)]++
-	}
-}
-
-// checkIdle waits for bytes on a connection on which no request is waiting. They count against the last request.
-func (l *ledger) checkIdle(c *callerConn, wait time.Duration) {
-	text := c.unrequested(wait)
-	if text == "" {
-		return
+		l.counts[fmt.Sprintf("answers-%d", a.status)]++
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.histories[c.last.id] = c.last
-	c.last.answer.malformed = text
-	c.last.note("%s", text)
 }
 
 // count counts something for the report.
@@ -109,7 +98,13 @@
 	l.counts[key]++
 }
 
-// settle judges the requests that have been quiet for a time, and forgets them.
+// addViolation reports a broken rule.
+func (l *ledger) addViolation(v violation, arguments ...any) {
+	l.violations[v.rule]++
+	l.logger.Error(string(v.rule)+": "+v.detail, arguments...)
+}
+
+// settle judges and forgets the requests of which nothing was heard for a time.
 func (l *ledger) settle(quiet time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -120,26 +115,21 @@
 		delete(l.histories, id)
 		l.counts["requests"]++
 		for _, v := range judge(h) {
-			l.violations[v.rule]++
-			_, _ = fmt.Fprintf(l.output, "VIOLATION %s %s idempotent=%t: %s\n%s", v.rule, h.id, h.idempotent, v.detail, h.timeline())
+			l.addViolation(v, "request", id, "idempotent", h.idempotent, "timeline", h.timeline.String())
 		}
 	}
 }
 
-// report writes the counts as key=value lines.
-func (l *ledger) report() {
+// report writes the counts as key=value lines and returns the violations.
+func (l *ledger) report(w io.Writer) map[Rule]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	keys := make([]string, 0, len(l.counts))
-	for k := range l.counts {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	for _, k := range keys {
-		_, _ = fmt.Fprintf(l.output, "%s=%d\n", k, l.counts[k])
+	for _, k := range slices.Sorted(maps.Keys(l.counts)) {
+		_, _ = fmt.Fprintf(w, "%s=%d\n", k, l.counts[k])
 	}
-	_, _ = fmt.Fprintf(l.output, "runs=%d\n", l.runs)
-	for _, r := range []rule{ruleMixed, ruleTwice, ruleUnasked, ruleRefused, ruleRepeated} {
-		_, _ = fmt.Fprintf(l.output, "violations-%s=%d\n", r, l.violations[r])
+	_, _ = fmt.Fprintf(w, "runs=%d\n", l.runs)
+	for _, r := range []Rule{RuleMixed, RuleTwice, RuleUnasked, RuleRefused, RuleRepeated, RuleEnded} {
+		_, _ = fmt.Fprintf(w, "violations-%s=%d\n", r, l.violations[r])
 	}
+	return l.violations
 }
--- a/internal/standin/stutterer/response.go
+++ b/internal/standin/stutterer/response.go
@@ -22,7 +22,7 @@
 	framingClose
 )
 
-func (f framing) String() string { return [...]string{"length", "chunked", "close-delimited"}[f] }
+func (f framing) String() string { return [...]string{"with a length", "chunked", "until the end"}[f] }
 
 // response is a response of an upstream.
 type response struct {
@@ -35,10 +35,10 @@
 	announceClose bool
 }
 
-// encode returns the head and the body as they are sent. shuffle orders the fields and sizes the chunks.
+// encode returns the head and the body as they are sent. The drawer orders the fields and sizes the chunks.
 func (r response) encode(d *drawer) (head, body []byte) {
-	fields := []string{wire.RequestID + ": " + r.id, wire.Seal + ": " + r.seal, "Date: Sat, 05 Dec 2026 16:00:00 GMT"}
-	body = bodyOf(r.seal, r.length)
+	fields := []string{wire.RequestID + ": " + r.id, wire.Seal + ": " + r.seal, "Content-Type: text/plain"}
+	body = repeat(r.seal, r.length)
 	switch r.framing {
 	case framingLength:
 		fields = append(fields, "Content-Length: "+strconv.Itoa(r.length))
--- a/internal/standin/stutterer/run.go
+++ b/internal/standin/stutterer/run.go
@@ -5,23 +5,23 @@
 	"fmt"
 )
 
-// run is one run of a request by an upstream. Its history's ledger guards it.
+// run is one run of a request by an upstream. The ledger guards it.
 type run struct {
 	history  *history
 	number   int
 	upstream string
-	// status and seal are set once the run has decided on its response.
+	// status and seal are those of the response, once the run has decided on it.
 	status int
 	seal   string
 }
 
-// sealOf returns the seal of a response of a run. It names the run and states the length of the body and the status.
+// sealOf returns the seal of a response of the run. It names the run and states the body's length and the status.
 func (r *run) sealOf(status, length int) string {
 	return fmt.Sprintf("%d;%s;%s;%d;%d", r.number, r.history.id, r.upstream, length, status)
 }
 
-// bodyOf returns the body of the response with a seal.
-func bodyOf(seal string, length int) []byte {
-	line := []byte(seal + "\n")
-	return bytes.Repeat(line, length/len(line)+1)[:length]
+// repeat returns a body of the given length that repeats a line. Bodies of responses repeat their seal, and those of
+// requests their ID.
+func repeat(line string, length int) []byte {
+	return bytes.Repeat([]byte(line+"\n"), length/(len(line)+1)+1)[:length]
 }
--- a/internal/standin/stutterer/script.go
+++ b/internal/standin/stutterer/script.go
@@ -18,16 +18,10 @@
 	data  []byte
 }
 
-// script is what an upstream writes to a connection, and how that leaves the connection.
+// script is what an upstream writes to a connection.
 type script struct {
 	steps  []step
 	ending ending
-}
-
-// plan is how an upstream responds to a request: with a first response and, unless late is nil, a second one. text
-// describes it in the timeline.
-type plan struct {
-	first script
-	late  *script
-	text  string
+	// text describes the script for the timeline.
+	text string
 }
--- a/internal/standin/stutterer/soak.go
+++ b/internal/standin/stutterer/soak.go
@@ -1,5 +1,5 @@
-// Package stutterer runs a mesh of real processes on the users' platform, beside upstreams that respond twice, late or
-// in part, and that make calls of their own. It checks that each caller gets the answer to its own request, or none.
+// Package stutterer runs a mesh of real processes on the users' platform beside upstreams that respond twice, late or in
+// part, and that make calls of their own. It checks that each caller gets the answer to its own request, or none.
 package stutterer
 
 import (
@@ -12,44 +12,45 @@
 	"strings"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/checker"
 	"github.com/tamarackpitch/tamarackpitch/internal/standin/harness"
 	"github.com/tamarackpitch/tamarackpitch/platform/standin"
 )
 
-var (
-	zones = []string{"zone-a", "zone-b", "zone-c"}
-	// links are the bandwidths of VMs, in Mbit/s, which the VMs are told in turn.
-	links = []int{1000, 20}
-	// services are those of the VMs, in turn.
-	services = []string{serviceOuter, serviceInner, servicePlace}
-)
+// linksMbps are the bandwidths of their links that VMs are told, in turn.
+var linksMbps = []int{1000, 20}
 
 const (
-	// outerShare is the share of the callers' requests that go to serviceOuter.
-	outerShare   = 0.6
+	zones        = 3
 	readyTimeout = 30 * time.Second
-	// spreadTime is the time for the first heartbeats and memberships to spread.
-	spreadTime   = 3 * time.Second
-	settleEvery  = time.Second
-	disruptEvery = 2 * time.Second
-	restartDelay = 2 * time.Second
-	addressReuse = time.Second
+	// spreadTime is the time for the first heartbeats to spread.
+	spreadTime      = 3 * time.Second
+	settleInterval  = time.Second
+	disruptInterval = 2 * time.Second
+	// quietTime is how long nothing must be heard of a request before it is judged, and lastQuietTime the same at the
+	// end. Both exceed all deadlines and delays.
+	quietTime     = 8 * time.Second
+	lastQuietTime = 4 * time.Second
 )
 
 // Config configures a soak.
 type Config struct {
 	// Product is the path of the tamarackpitch program.
 	Product string
-	// Template is the path of the template of a node's settings. Its lines with placeholders are left out.
+	// Template is the path of the template of a node's settings. Lines with placeholders are left out.
 	Template string
 	Output   io.Writer
-	// Seed determines the requests, and how upstreams treat each of them.
+	// Seed determines requests, disruptions, and how an upstream treats each run.
 	Seed uint64
 	// Duration is the time under load.
 	Duration time.Duration
 	// VMs is the number of VMs, and Callers that of callers on each.
 	VMs     int
 	Callers int
+	// Disrupt has VMs disrupted.
+	Disrupt bool
 	Chances Chances
 }
 
@@ -60,28 +61,31 @@
 	settings     string
 	storeAddress string
 	ledger       *ledger
+	random       *rand.Rand
 	vms          []*vm
+	// disruptions holds the last disruption of each VM.
+	disruptions map[*vm]*disruption
 	// stop ends the callers.
 	stop chan struct{}
 }
 
 // Run runs the soak and returns the number of violations by rule. The nodes' logs are removed if there are none.
-func Run(c Config) (map[string]int, error) {
+func Run(c Config) (map[Rule]int, error) {
+	// A violated invariant ends a node.
+	_ = os.Setenv(checker.FatalEnvVar, "1")
 	dir, err := os.MkdirTemp("", "tamarackpitch-stutter")
 	if err != nil {
 		return nil, err
 	}
-	s := &Soak{config: c, dir: dir, ledger: newLedger(c.Output), stop: make(chan struct{})}
+	logger := hclog.New(&hclog.LoggerOptions{Name: "stutter", Output: c.Output})
+	s := &Soak{config: c, dir: dir, ledger: newLedger(logger), random: rand.New(rand.NewPCG(c.Seed, 0)),
+		disruptions: map[*vm]*disruption{}, stop: make(chan struct{})}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return nil, fmt.Errorf("%w (logs of the nodes are in %s)", err, dir)
 	}
 	s.runLoad()
-	s.ledger.report()
-	found := map[string]int{}
-	for r, n := range s.ledger.violations {
-		found[string(r)] = n
-	}
+	found := s.ledger.report(c.Output)
 	if len(found) == 0 {
 		return nil, os.RemoveAll(dir)
 	}
@@ -89,7 +93,7 @@
 	return found, nil
 }
 
-// start starts the store, the nodes and the upstreams, and waits until all nodes are ready.
+// start starts the store and the VMs, and waits until all nodes are ready.
 func (s *Soak) start() error {
 	template, err := os.ReadFile(s.config.Template)
 	if err != nil {
@@ -104,36 +108,33 @@
 	if err := store.PutConfig(config()); err != nil {
 		return err
 	}
-	addresses, err := harness.AllocateAddresses(addressesPerVM * s.config.VMs)
-	if err != nil {
-		return err
-	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	s.storeAddress = listener.Addr().String()
 	go (&storeServer{listener: listener, handler: store.Handler()}).run()
+	addresses, err := harness.AllocateAddresses(addressesPerVM * s.config.VMs)
+	if err != nil {
+		return err
+	}
 	for i := range s.config.VMs {
-		v := newVM(s, i, services[i%len(services)], addresses)
+		v := newVM(s, i, addresses[addressesPerVM*i:])
 		s.vms = append(s.vms, v)
-		if err := v.startNode(); err != nil {
-			return err
-		}
-		if err := v.startUpstream(); err != nil {
+		if err := v.start(targets[i%len(targets)].service); err != nil {
 			return err
 		}
 	}
 	for _, v := range s.vms {
 		if !harness.WaitUntil(readyTimeout, v.isReady) {
-			return fmt.Errorf("node of VM %d is not ready after %s", v.number, readyTimeout)
+			return &Error{Operation: "start", Detail: v.node.Name + " does not get ready"}
 		}
 	}
 	time.Sleep(spreadTime)
 	return nil
 }
 
-// runLoad runs the callers and the disruptions, and judges the requests.
+// runLoad runs callers and disruptions, and judges the requests.
 func (s *Soak) runLoad() {
 	var callers []*caller
 	for _, v := range s.vms {
@@ -143,21 +144,55 @@
 			go c.loop()
 		}
 	}
-	random := rand.New(rand.NewPCG(s.config.Seed, 1))
-	disrupted := time.Now()
-	for end := time.Now().Add(s.config.Duration); time.Now().Before(end); time.Sleep(settleEvery) {
-		s.ledger.settle(settleTime)
-		if time.Since(disrupted) > disruptEvery {
-			disrupted = time.Now()
-			go (&disruption{vm: s.vms[random.IntN(len(s.vms))], kind: random.IntN(5)}).run()
+	next := time.Now()
+	for end := time.Now().Add(s.config.Duration); time.Now().Before(end); time.Sleep(settleInterval) {
+		s.ledger.settle(quietTime)
+		if s.config.Disrupt && time.Now().After(next) {
+			next = time.Now().Add(disruptInterval)
+			s.disrupt()
 		}
 	}
 	close(s.stop)
 	for _, c := range callers {
 		<-c.done
 	}
-	time.Sleep(settleTime / 2)
+	for _, d := range s.disruptions {
+		s.await(d)
+	}
+	time.Sleep(lastQuietTime)
 	s.ledger.settle(0)
+	for _, v := range s.vms {
+		if !v.node.Running() {
+			s.ledger.addViolation(violation{RuleEnded, v.node.Name})
+		}
+	}
+}
+
+// disrupt disrupts a random VM, unless the last disruption there is in progress.
+func (s *Soak) disrupt() {
+	v := s.vms[s.random.IntN(len(s.vms))]
+	d := &disruption{vm: v, kind: kind(s.random.IntN(int(kinds))), outage: time.Duration(s.random.Int64N(int64(maxOutage))),
+		service: targets[s.random.IntN(len(targets))].service, done: make(chan struct{})}
+	if last := s.disruptions[v]; last != nil {
+		select {
+		case <-last.done:
+			s.await(last)
+		default:
+			return
+		}
+	}
+	s.ledger.logger.Info("disruption", "vm", v.number, "kind", d.kind, "outage", d.outage, "service", d.service)
+	s.disruptions[v] = d
+	go d.run()
+}
+
+// await waits for the end of a disruption, and reports one that failed.
+func (s *Soak) await(d *disruption) {
+	<-d.done
+	if d.err != nil {
+		s.ledger.addViolation(violation{RuleEnded, d.err.Error()})
+		d.err = nil
+	}
 }
 
 // close ends the nodes.
--- a/internal/standin/stutterer/upstream.go
+++ b/internal/standin/stutterer/upstream.go
@@ -13,42 +13,47 @@
 
 const (
 	heartbeatInterval = 500 * time.Millisecond
-	// slots is how many requests an upstream runs at one time.
-	slots = 8
+	heartbeatTimeout  = time.Second
+	// slots is how many requests an upstream runs at one time. Further ones wait for queueTime.
+	slots     = 8
+	queueTime = 100 * time.Millisecond
+	// minIdle and maxIdle bound the time after which an upstream closes an idle connection.
+	minIdle = 300 * time.Millisecond
+	maxIdle = 5 * time.Second
 )
 
 // upstream is one incarnation of an upstream. It is safe for concurrent use.
 type upstream struct {
-	soak     *Soak
 	vm       *vm
 	id       string
+	service  string
 	born     time.Time
 	listener net.Listener
+	slots    chan struct{}
 	stop     chan struct{}
-	// done holds an element for each goroutine that has ended, of run and loop.
+	// done gets an element from run and one from loop at their ends.
 	done chan struct{}
 
 	mu      sync.Mutex
 	random  *rand.Rand
 	conns   map[*upstreamConn]bool
-	running int
 	dialled int
 }
 
-// startUpstream starts an incarnation of an upstream.
-func startUpstream(v *vm, id string) (*upstream, error) {
+// startUpstream starts an incarnation of the upstream of a VM.
+func startUpstream(v *vm, id, service string) (*upstream, error) {
 	l, err := net.Listen("tcp", v.upstreamAddress)
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{soak: v.soak, vm: v, id: id, born: time.Now(), listener: l, stop: make(chan struct{}), done: make(chan struct{}, 2),
-		random: rand.New(rand.NewPCG(v.soak.config.Seed, uint64(v.number))), conns: map[*upstreamConn]bool{}}
+	u := &upstream{vm: v, id: id, service: service, born: time.Now(), listener: l, slots: make(chan struct{}, slots), stop: make(chan struct{}),
+		done: make(chan struct{}, 2), random: rand.New(rand.NewPCG(v.soak.config.Seed, uint64(v.number))), conns: map[*upstreamConn]bool{}}
 	go u.run()
 	go u.loop()
 	return u, nil
 }
 
-// run accepts connections until the upstream stops.
+// run accepts connections until the upstream ends.
 func (u *upstream) run() {
 	defer func() { u.done <- struct{}{} }()
 	for {
@@ -56,16 +61,20 @@
 		if err != nil {
 			return
 		}
-		u.mu.Lock()
-		u.dialled++
-		c := &upstreamConn{upstream: u, conn: conn, name: fmt.Sprintf("%s-%d", u.id, u.dialled),
-			idle: minIdle + time.Duration(u.random.Int64N(int64(maxIdle-minIdle)))}
-		u.conns[c] = true
-		u.mu.Unlock()
-		go c.run()
+		go u.add(conn).run()
 	}
 }
 
+func (u *upstream) add(conn net.Conn) *upstreamConn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dialled++
+	idle := minIdle + time.Duration(u.random.Int64N(int64(maxIdle-minIdle)))
+	c := &upstreamConn{upstream: u, conn: conn, name: fmt.Sprintf("%s-%d", u.id, u.dialled), idle: idle}
+	u.conns[c] = true
+	return c
+}
+
 // forget closes a connection.
 func (u *upstream) forget(c *upstreamConn) {
 	_ = c.conn.Close()
@@ -74,30 +83,46 @@
 	delete(u.conns, c)
 }
 
-// enter takes a slot. It reports false if none is free.
+// enter takes a slot. It reports false if none gets free in time.
 func (u *upstream) enter() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.running >= slots {
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	case <-time.After(queueTime):
 		return false
 	}
-	u.running++
-	return true
 }
 
-func (u *upstream) leave() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.running--
+func (u *upstream) leave() { <-u.slots }
+
+// work runs a request and returns the status of the response.
+func (u *upstream) work(r *run, ordinal int, d *drawer, deadline time.Time) int {
+	time.Sleep(d.work())
+	ok := !d.hit(d.chances.Fail)
+	if u.service == targets[0].service && d.hit(d.chances.Inner) {
+		for k := range 1 + d.random.IntN(maxInner) {
+			t := targets[1+d.random.IntN(len(targets)-1)]
+			id := fmt.Sprintf("%s.%d%d", r.history.id, ordinal, k)
+			left := min(time.Until(deadline), d.innerDeadline())
+			ok = left > 0 && u.vm.callInner(t.request(id, left, d), u.id) && ok
+		}
+	}
+	switch {
+	case time.Now().After(deadline):
+		return http.StatusGatewayTimeout
+	case !ok:
+		return http.StatusInternalServerError
+	}
+	return http.StatusOK
 }
 
-// loop sends heartbeats to the node until the upstream stops. One that fails is made up for by the next.
+// loop sends heartbeats to the node until the upstream ends. One that fails is made up for by the next.
 func (u *upstream) loop() {
 	defer func() { u.done <- struct{}{} }()
-	client := http.Client{Timeout: time.Second}
+	client := http.Client{Timeout: heartbeatTimeout}
 	for sequence := uint64(1); ; sequence++ {
-		h := standin.Heartbeat{ID: u.id, Address: u.vm.upstreamAddress, Service: u.vm.service, Version: "v1", Zone: u.vm.zone, Slots: slots,
-			Sequence: sequence, Born: u.born}
+		h := standin.Heartbeat{ID: u.id, Address: u.vm.upstreamAddress, Service: u.service, Version: "v1", Zone: u.vm.zone,
+			Slots: slots, Sequence: sequence, Born: u.born}
 		if r, err := h.Request(u.vm.heartbeat); err == nil {
 			if response, err := client.Do(r); err == nil {
 				_ = response.Body.Close()
@@ -111,8 +136,8 @@
 	}
 }
 
-// resetConnections resets all connections. Runs in progress go on.
-func (u *upstream) resetConnections() {
+// resetConns resets all connections.
+func (u *upstream) resetConns() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for c := range u.conns {
@@ -120,11 +145,11 @@
 	}
 }
 
-// crash ends the upstream. Its runs in progress end unheard.
-func (u *upstream) crash() {
+// end ends the upstream, though not the runs in progress.
+func (u *upstream) end() {
 	close(u.stop)
 	_ = u.listener.Close()
-	u.resetConnections()
+	u.resetConns()
 	<-u.done
 	<-u.done
 }
--- a/internal/standin/stutterer/upstreamconn.go
+++ b/internal/standin/stutterer/upstreamconn.go
@@ -15,16 +15,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// minIdle and maxIdle are the times after which an upstream closes an idle connection.
-	minIdle = 300 * time.Millisecond
-	maxIdle = 5 * time.Second
-	// readTimeout bounds the time that a request takes to arrive once it has begun.
-	readTimeout = 5 * time.Second
-)
+// ioTimeout bounds the time to read a request once it has begun, and to write a response.
+const ioTimeout = 5 * time.Second
 
-// upstreamConn is a connection to an upstream. It carries one request at a time. An end of the connection is noticed
-// when the next request is read or a response is written; until then the run goes on.
+// upstreamConn is a connection to an upstream. It carries one request at a time. A run goes on to its end even if the
+// connection ends meanwhile.
 type upstreamConn struct {
 	upstream *upstream
 	conn     net.Conn
@@ -43,7 +38,7 @@
 		if _, err := in.Peek(1); err != nil {
 			return
 		}
-		_ = c.conn.SetReadDeadline(time.Now().Add(readTimeout))
+		_ = c.conn.SetReadDeadline(time.Now().Add(ioTimeout))
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -57,9 +52,10 @@
 
 // serve responds to a request. It reports whether the connection stays open.
 func (c *upstreamConn) serve(r *http.Request, body []byte) bool {
-	u, l := c.upstream, c.upstream.soak.ledger
-	received := time.Now()
+	u := c.upstream
 	id := r.Header.Get(wire.RequestID)
+	ms, err := strconv.ParseFloat(r.Header.Get(wire.TimeLeft), 64)
+	deadline := time.Now().Add(time.Duration(ms * float64(time.Millisecond)))
 	if expected := r.Header.Get(wire.ExpectInstance); expected != "" && expected != u.id {
 		return c.refuse(id, http.StatusMisdirectedRequest)
 	}
@@ -67,66 +63,46 @@
 		return c.refuse(id, http.StatusServiceUnavailable)
 	}
 	defer u.leave()
+	l := u.vm.soak.ledger
 	run, ordinal := l.begin(id, u.id, c.name)
-	if service := r.Header.Get(wire.CallerService); service != run.history.origin {
-		l.odd(run.history, "%s is %q instead of %q", wire.CallerService, service, run.history.origin)
-	}
-	if !bytes.Equal(body, requestBody(id, len(body))) {
-		l.odd(run.history, "the body of %d bytes was changed", len(body))
-	}
-	d := &drawer{chances: u.soak.config.Chances, random: rand.New(rand.NewPCG(u.soak.config.Seed, xxhash.Sum64String(id)+uint64(ordinal)))}
-	ms, err := strconv.ParseFloat(r.Header.Get(wire.TimeLeft), 64)
-	if err != nil {
-		l.odd(run.history, "%s is %q", wire.TimeLeft, r.Header.Get(wire.TimeLeft))
+	origin := r.Header.Get(wire.CallerService)
+	if err != nil || origin != run.history.origin || !bytes.Equal(body, repeat(id, len(body))) {
+		l.addUnasked(run, fmt.Sprintf("it came with %v and a body of %d bytes", r.Header, len(body)))
 	}
-	deadline := received.Add(time.Duration(ms * float64(time.Millisecond)))
-	time.Sleep(d.work())
-	status, length := http.StatusOK, d.length()
-	failed := d.hit(d.chances.Fail)
-	if u.vm.service == serviceOuter && d.hit(d.chances.Inner) {
-		failed = !u.vm.callInner(run, ordinal, d, deadline) || failed
-	}
-	switch {
-	case time.Now().After(deadline):
-		status = http.StatusGatewayTimeout
-	case failed:
-		status = http.StatusInternalServerError
-	}
-	p := d.plan(run, status, length)
-	l.decide(run, status, length)
-	l.note(run.history, "%s", p.text)
-	if p.late != nil {
-		l.count("second-responses")
-	}
-	if !c.play(p.first) {
-		l.note(run.history, "run %d: its connection has ended", run.number)
-		return false
-	}
-	if p.late != nil {
-		go (&lateResponse{conn: c, script: *p.late}).run()
+	seed := u.vm.soak.config.Seed
+	d := &drawer{chances: u.vm.soak.config.Chances, random: rand.New(rand.NewPCG(seed, xxhash.Sum64String(id)+uint64(ordinal)))}
+	response := d.response(run, u.work(run, ordinal, d, deadline), d.length())
+	first := d.first(response)
+	l.decide(run, response.status, response.length, first.text)
+	open := c.play(first)
+	if !open || !d.hit(d.chances.Second) {
+		l.note(run, fmt.Sprintf("response written, open %t", open))
+		return open
 	}
+	second := d.second(run, response)
+	l.note(run, second.text)
+	l.count("second-responses")
+	go (&lateResponse{conn: c, script: second}).run()
 	return true
 }
 
 // refuse responds that the upstream does not run a request.
 func (c *upstreamConn) refuse(id string, status int) bool {
-	c.upstream.soak.ledger.count(fmt.Sprintf("%d-of-upstream", status))
+	c.upstream.vm.soak.ledger.count(fmt.Sprintf("upstream-refusals-%d", status))
 	text := fmt.Sprintf("HTTP/1.1 %d Refused\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, wire.RequestID, id, wire.NotExecuted)
 	return c.play(script{steps: []step{{data: []byte(text)}}})
 }
 
 // play carries out a script. It reports whether the connection stays open.
 func (c *upstreamConn) play(s script) bool {
-	if len(s.steps) > 0 {
-		time.Sleep(s.steps[0].pause)
-	}
+	time.Sleep(s.steps[0].pause)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, p := range s.steps {
 		if i > 0 {
 			time.Sleep(p.pause)
 		}
-		_ = c.conn.SetWriteDeadline(time.Now().Add(readTimeout))
+		_ = c.conn.SetWriteDeadline(time.Now().Add(ioTimeout))
 		if _, err := c.conn.Write(p.data); err != nil {
 			return false
 		}
@@ -145,10 +121,10 @@
 	_ = c.conn.Close()
 }
 
-// lateResponse is a second response that is sent while the connection goes on.
+// lateResponse is a second response, which is sent while the connection goes on.
 type lateResponse struct {
 	conn   *upstreamConn
 	script script
 }
 
-func (l *lateResponse) run() { l.conn.play(l.script) }
+func (r *lateResponse) run() { r.conn.play(r.script) }
--- a/internal/standin/stutterer/vm.go
+++ b/internal/standin/stutterer/vm.go
@@ -1,7 +1,9 @@
 package stutterer
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,56 +17,62 @@
 // addressesPerVM is the number of addresses of a VM.
 const addressesPerVM = 7
 
-// vm is a VM with a node and an upstream.
+// vm is a VM with a node and an upstream. Only callInner and dial are safe for concurrent use.
 type vm struct {
-	soak    *Soak
-	number  int
-	zone    string
-	service string
-	// Addresses of the node and of the upstream.
+	soak   *Soak
+	number int
+	zone   string
+	// Addresses, IP:port.
 	outbound, inbound, ready, heartbeat, control, admin, upstreamAddress string
 
 	node     *harness.Process
 	upstream *upstream
-	// incarnations counts the upstreams and the nodes that were started with new settings.
-	incarnations int
+	// started counts the nodes and upstreams that were started anew.
+	started int
 
-	mu sync.Mutex
-	// idle holds the upstream's own connections to the node that are not in use.
+	// mu guards service and idle.
+	mu      sync.Mutex
+	service string
+	// idle holds the upstreams' unused connections to the node.
 	idle []*callerConn
 }
 
-func newVM(s *Soak, number int, service string, addresses []string) *vm {
-	a := addresses[addressesPerVM*number:]
-	return &vm{soak: s, number: number, zone: zones[number%len(zones)], service: service, outbound: a[0], inbound: a[1], ready: a[2],
+func newVM(s *Soak, number int, a []string) *vm {
+	return &vm{soak: s, number: number, zone: fmt.Sprintf("zone-%d", number%zones), outbound: a[0], inbound: a[1], ready: a[2],
 		heartbeat: a[3], control: a[4], admin: a[5], upstreamAddress: a[6]}
 }
 
-// startNode starts a node with new settings.
-func (v *vm) startNode() error {
-	v.incarnations++
-	name := fmt.Sprintf("vm-%d-%d", v.number, v.incarnations)
+// start starts a new node and a new upstream, of a service.
+func (v *vm) start(service string) error {
+	v.mu.Lock()
+	v.service = service
+	v.mu.Unlock()
+	v.started++
+	name := fmt.Sprintf("vm-%d-%d", v.number, v.started)
+	settings := fmt.Sprintf("%s\nname: %s\nzone: %s\nregion: r\nservice: %s\nlink-mbps: %d\nlog-url: http://%s\n", v.soak.settings, name, v.zone,
+		service, linksMbps[v.number%len(linksMbps)], v.soak.storeAddress)
+	settings += fmt.Sprintf("listen: %q\npeer-listen: %q\nready-listen: %q\nupstream-listen: %q\ncontrol-listen: %q\nadmin-listen: %q\n",
+		v.outbound, v.inbound, v.ready, v.heartbeat, v.control, v.admin)
 	path := filepath.Join(v.soak.dir, name+".yaml")
-	text := fmt.Sprintf("%s\nname: %s\nzone: %s\nregion: r\nlisten: %q\npeer-listen: %q\ncontrol-listen: %q\nadmin-listen: %q\n"+
-		"upstream-listen: %q\nready-listen: %q\nlog-url: %q\nservice: %s\nlink-mbps: %d\n", v.soak.settings, name, v.zone, v.outbound,
-		v.inbound, v.control, v.admin, v.heartbeat, v.ready, "http://"+v.soak.storeAddress, v.service, links[v.number%len(links)])
-	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		return err
 	}
 	var err error
-	v.node, err = harness.StartProcess(v.soak.dir, name, v.soak.config.Product, "node", "--settings="+path)
-	return err
+	if v.node, err = harness.StartProcess(v.soak.dir, name, v.soak.config.Product, "node", "--settings="+path); err != nil {
+		return err
+	}
+	return v.startUpstream()
 }
 
-// startUpstream starts an upstream with a new ID.
+// startUpstream starts a new upstream.
 func (v *vm) startUpstream() error {
-	v.incarnations++
+	v.started++
 	var err error
-	v.upstream, err = startUpstream(v, fmt.Sprintf("i-%03d%03d", v.number, v.incarnations))
+	v.upstream, err = startUpstream(v, fmt.Sprintf("i-%03d%03d", v.number, v.started), v.service)
 	return err
 }
 
-// isReady reports whether the node answers the platform's readiness check.
+// isReady reports whether the node passes the platform's readiness check.
 func (v *vm) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + v.ready + standin.ReadinessPath)
@@ -75,59 +83,44 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// callInner makes the calls of a run, through the node of the VM. It reports whether all succeed.
-func (v *vm) callInner(r *run, ordinal int, d *drawer, deadline time.Time) bool {
-	ok := true
-	for k := range 1 + d.random.IntN(maxInner) {
-		left := min(time.Until(deadline), minInnerDeadline+d.upTo(maxInnerDeadline-minInnerDeadline))
-		if left <= 0 {
-			return false
-		}
-		route := innerRoutes[d.random.IntN(len(innerRoutes))]
-		id := fmt.Sprintf("%s.%d%d", r.history.id, ordinal, k)
-		ok = v.callOnce(route.request(id, left, d), route) && ok
+// dial returns a new connection to the node.
+func (v *vm) dial() (*callerConn, error) {
+	conn, err := net.DialTimeout("tcp", v.outbound, dialTimeout)
+	if err != nil {
+		return nil, err
 	}
-	return ok
+	// If the node has ended meanwhile, so that the service is that of the next one, the connection has ended as well.
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return &callerConn{ledger: v.soak.ledger, conn: conn, in: bufio.NewReader(conn), origin: v.service}, nil
 }
 
-// callOnce makes a call over an idle connection or a new one. It reports whether the call succeeds.
-func (v *vm) callOnce(q request, t target) bool {
-	l := v.soak.ledger
-	c, err := v.take()
-	if err != nil {
-		return false
+// callInner makes a call of a run, through the node. It reports whether the call succeeds.
+func (v *vm) callInner(q request, upstream string) bool {
+	c := v.take()
+	c.checkIdle(time.Millisecond)
+	if c.ended {
+		var err error
+		if c, err = v.dial(); err != nil {
+			return false
+		}
 	}
-	h := l.open(q.id, v.service, t.idempotent, "sent by the upstream of VM %d (%s) with %s left", v.number, v.service, q.deadline)
-	a := c.call(q)
-	c.last = h
-	l.close(h, a)
-	v.put(c)
+	a := c.call(q, upstream)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.idle = append(v.idle, c)
 	return a.success()
 }
 
-// take returns a connection to the node.
-func (v *vm) take() (*callerConn, error) {
+// take returns an idle connection, or one that has ended.
+func (v *vm) take() *callerConn {
 	v.mu.Lock()
+	defer v.mu.Unlock()
 	n := len(v.idle)
 	if n == 0 {
-		v.mu.Unlock()
-		return dial(v.outbound)
+		return &callerConn{ended: true}
 	}
 	c := v.idle[n-1]
 	v.idle = v.idle[:n-1]
-	v.mu.Unlock()
-	v.soak.ledger.checkIdle(c, time.Millisecond)
-	if c.ended {
-		return dial(v.outbound)
-	}
-	return c, nil
-}
-
-// put keeps a connection for further calls.
-func (v *vm) put(c *callerConn) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if !c.ended {
-		v.idle = append(v.idle, c)
-	}
+	return c
 }
