--- a/internal/standin/stutterer/drawer.go
+++ b/internal/standin/stutterer/drawer.go
@@ -99,7 +99,7 @@
 		for i := range junk {
 			junk[i] = byte(d.random.IntN(256))
 		}
-		return script{steps: []step{{delay, junk}}, text: fmt.Sprintf("junk after %s", delay)}
+		return script{steps: []step{{delay, junk}}, text: fmt.Sprintf("second response after %s: %d bytes of junk", delay, len(junk))}
 	}
 	f := first
 	if d.hit(d.chances.SecondStatus) {
--- a/internal/standin/stutterer/upstreamconn.go
+++ b/internal/standin/stutterer/upstreamconn.go
@@ -26,6 +26,8 @@
 	name     string
 	// idle is how long the connection may be idle.
 	idle time.Duration
+	// earlier describes the second responses on the connection, for the timelines of later requests.
+	earlier []string
 	// mu keeps responses apart.
 	mu sync.Mutex
 }
@@ -65,6 +67,9 @@
 	defer u.leave()
 	l := u.vm.soak.ledger
 	run, ordinal := l.begin(id, u.id, c.name)
+	for _, text := range c.earlier {
+		l.note(run, "earlier on the connection: "+text)
+	}
 	origin := r.Header.Get(wire.CallerService)
 	if err != nil || origin != run.history.origin || !bytes.Equal(body, repeat(id, len(body))) {
 		l.addUnasked(run, fmt.Sprintf("it came with %v and a body of %d bytes", r.Header, len(body)))
@@ -81,6 +86,7 @@
 	}
 	second := d.second(run, response)
 	l.note(run, second.text)
+	c.earlier = append(c.earlier, fmt.Sprintf("run %d, %s", run.number, second.text))
 	l.count("second-responses")
 	go (&lateResponse{conn: c, script: second}).run()
 	return true
