--- a/internal/standin/stutterer/ledger.go
+++ b/internal/standin/stutterer/ledger.go
@@ -5,12 +5,16 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
 
+// innerSeparator separates the ID of a call that a run makes from that of its request.
+const innerSeparator = "."
+
 // ledger holds the histories of the requests that have not been judged yet. It is safe for concurrent use.
 type ledger struct {
 	logger hclog.Logger
@@ -114,6 +118,9 @@
 		}
 		delete(l.histories, id)
 		l.counts["requests"]++
+		if strings.Contains(id, innerSeparator) {
+			l.counts["requests-of-upstreams"]++
+		}
 		for _, v := range judge(h) {
 			l.addViolation(v, "request", id, "idempotent", h.idempotent, "timeline", h.timeline.String())
 		}
--- a/internal/standin/stutterer/upstream.go
+++ b/internal/standin/stutterer/upstream.go
@@ -102,7 +102,7 @@
 	if u.service == targets[0].service && d.hit(d.chances.Inner) {
 		for k := range 1 + d.random.IntN(maxInner) {
 			t := targets[1+d.random.IntN(len(targets)-1)]
-			id := fmt.Sprintf("%s.%d%d", r.history.id, ordinal, k)
+			id := fmt.Sprintf("%s%s%d%d", r.history.id, innerSeparator, ordinal, k)
 			left := min(time.Until(deadline), d.innerDeadline())
 			ok = left > 0 && u.vm.callInner(t.request(id, left, d), u.id) && ok
 		}
