--- a/internal/standin/stutterer/ledger.go
+++ b/internal/standin/stutterer/ledger.go
@@ -102,7 +102,14 @@
 	l.counts[key]++
 }
 
-// addViolation reports a broken rule.
+// end records that a node ended by itself or does not run as it should.
+func (l *ledger) end(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addViolation(violation{RuleEnded, text})
+}
+
+// addViolation reports a broken rule. The caller holds the lock.
 func (l *ledger) addViolation(v violation, arguments ...any) {
 	l.violations[v.rule]++
 	l.logger.Error(string(v.rule)+": "+v.detail, arguments...)
--- a/internal/standin/stutterer/vm.go
+++ b/internal/standin/stutterer/vm.go
@@ -49,8 +49,8 @@
 	v.mu.Unlock()
 	v.started++
 	name := fmt.Sprintf("vm-%d-%d", v.number, v.started)
-	settings := fmt.Sprintf("%s\nname: %s\nzone: %s\nregion: r\nservice: %s\nlink-mbps: %d\nlog-url: http://%s\n", v.soak.settings, name, v.zone,
-		service, linksMbps[v.number%len(linksMbps)], v.soak.store.address())
+	settings := fmt.Sprintf("%s\nname: %s\nzone: %s\nregion: r\nservice: %s\nlink-mbps: %d\nlog-url: %s\n", v.soak.settings, name, v.zone,
+		service, linksMbps[v.number%len(linksMbps)], v.soak.store.URL)
 	settings += fmt.Sprintf("listen: %q\npeer-listen: %q\nready-listen: %q\nupstream-listen: %q\ncontrol-listen: %q\nadmin-listen: %q\n",
 		v.outbound, v.inbound, v.ready, v.heartbeat, v.control, v.admin)
 	path := filepath.Join(v.soak.dir, name+".yaml")
