Stutterer: a late response never follows a body that ends with its connection

No node can tell these bytes from the body: a fault of the stand-in. Change: the stand-in closes such a connection before the next write.

--- a/internal/standin/stutterer/upstreamconn.go
+++ b/internal/standin/stutterer/upstreamconn.go
@@ -113,8 +113,12 @@
 			return false
 		}
 	}
-	if s.ending == endReset {
+	// The connection ends before a late response can be taken for a part of a body that ends with the connection.
+	switch s.ending {
+	case endReset:
 		c.reset()
+	case endClose:
+		_ = c.conn.Close()
 	}
 	return s.ending == endOpen
 }
