--- /dev/null
+++ b/internal/standin/stutterer/disruption.go
@@ -0,0 +1,77 @@
+package stutterer
+
+import (
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/harness"
+)
+
+// kind is a kind of disruption.
+type kind int
+
+// Kinds.
+const (
+	killNode kind = iota
+	terminateNode
+	resetConns
+	endUpstream
+	// replaceVM gives the addresses of a VM to another VM, of another service.
+	replaceVM
+	kinds
+)
+
+func (k kind) String() string {
+	return [...]string{"kill node", "terminate node", "reset connections", "end upstream", "replace VM"}[k]
+}
+
+const (
+	// addressReuse is the time after which addresses are used again, and maxOutage the longest time without a process.
+	addressReuse = time.Second
+	maxOutage    = 3 * time.Second
+	// terminateTimeout exceeds the time that nodes take to end.
+	terminateTimeout = 20 * time.Second
+)
+
+// disruption is a disruption of a VM.
+type disruption struct {
+	vm     *vm
+	kind   kind
+	outage time.Duration
+	// service is the service of a VM that is replaced.
+	service string
+}
+
+// carryOut carries the disruption out and waits until the node is ready again.
+func (d *disruption) carryOut() error {
+	v := d.vm
+	if !v.node.Running() || v.upstream == nil {
+		return &Error{Operation: "disrupt", Detail: v.node.Name + " or its upstream has ended by itself"}
+	}
+	var err error
+	switch d.kind {
+	case killNode:
+		v.node.Kill()
+		time.Sleep(d.outage)
+		err = v.node.Restart()
+	case terminateNode:
+		if !v.node.Terminate(terminateTimeout) {
+			return &Error{Operation: "disrupt", Detail: v.node.Name + " does not end at SIGTERM"}
+		}
+		err = v.node.Restart()
+	case resetConns:
+		v.upstream.resetConns()
+	case endUpstream:
+		v.endUpstream()
+		time.Sleep(d.outage)
+		err = v.startUpstream()
+	case replaceVM:
+		v.endUpstream()
+		v.node.Kill()
+		time.Sleep(max(d.outage, addressReuse))
+		err = v.start(d.service)
+	}
+	if err == nil && !harness.WaitUntil(readyTimeout, v.isReady) {
+		err = &Error{Operation: "disrupt", Detail: v.node.Name + " does not get ready"}
+	}
+	return err
+}
