Forwarder: a slow call is not given up by a node that knows no alternative

What callers saw since: an idempotent call that its only upstream ran for longer than SilenceAfter ended with 502 upstream-silent, where it had been answered before. The node beside the upstream, if the call came from another node, gave the call up without knowing whether another upstream could take it.

Change: such a node sends no more progress responses. The node that chose the upstream then takes the call to another one, or keeps waiting if there is none, as it does for a silent node.

TestSlowCallWithoutAlternativeIsAnswered failed before (502 after 204 ms, SilenceAfter being 200 ms) and passes in three of three runs, as do the other tests of silent upstreams and nodes.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -51,6 +51,8 @@
 	targetAt time.Time
 	// progressSentAt is when an interim response was last sent to show that the call is still in progress.
 	progressSentAt time.Time
+	// upstreamSuspected is set once the local upstream has been silent for so long that no progress is reported any more.
+	upstreamSuspected bool
 	// mayQueue reports whether the call may queue for a slot at the chosen upstream's node.
 	mayQueue bool
 	// busyNodes holds the nodes that had no free slot for the call.
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -17,9 +17,9 @@
 }
 
 // sendProgress sends a progress response, an interim response with status 102, to the node that waits for the response.
-// It does nothing if none is due.
+// It does nothing if none is due, or if the upstream is suspected.
 func (x *exchange) sendProgress(now time.Time) {
-	if x.operation != operationCall || x.caller.disconnected() || x.headSent ||
+	if x.operation != operationCall || x.upstreamSuspected || x.caller.disconnected() || x.headSent ||
 		now.Sub(x.progressSentAt) < x.forwarder.progressInterval() {
 		return
 	}
@@ -58,18 +58,23 @@
 	}
 }
 
-// checkUpstreamSilence gives up an idempotent call if the local upstream has not answered it for long, but has answered
-// other calls since it was sent: then the reused connection is probably broken. Another upstream takes the call; this one is
-// not sent it again, since it may still run it.
+// checkUpstreamSilence suspects the connection of an idempotent call if the local upstream has not answered the call for long,
+// but has answered other calls since it was sent. Another upstream then takes the call, if there is one; this one is not sent
+// it again, since it may still run it. A node that has the call from another node does not know whether there is one: it
+// sends no more progress responses, so that the other node decides.
 func (x *exchange) checkUpstreamSilence(a *attempt, now time.Time) {
 	f := x.forwarder
 	silence := max(f.common.Settings.SilenceAfter, silenceServiceTimes*f.admitter.ServiceTimeOf(x.route.Name))
 	if now.Sub(a.began) < silence {
 		return
 	}
-	if !x.idempotent || !a.conn.reused || !f.local.lastResponseAt.After(a.began) || !f.leaveDeadline.IsZero() ||
-		x.choosesUpstream() && !x.hasAlternative() {
+	if !x.idempotent || !a.conn.reused || !f.local.lastResponseAt.After(a.began) || !f.leaveDeadline.IsZero() {
 		return
 	}
-	x.retryUnknown("upstream-silent", "silence", now.Sub(a.began))
+	switch {
+	case !x.choosesUpstream():
+		x.upstreamSuspected = true
+	case x.hasAlternative():
+		x.retryUnknown("upstream-silent", "silence", now.Sub(a.began))
+	}
 }
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -83,3 +83,30 @@
 	}
 	qt.Assert(t, runs.Load(), qt.Equals, int32(1))
 }
+
+// TestSlowCallWithoutAlternativeIsAnswered lets the only upstream, beside another node, answer a call on a reused connection
+// later than SilenceAfter, while it answers other calls: the caller gets the response, and the upstream sees the call once.
+func TestSlowCallWithoutAlternativeIsAnswered(t *testing.T) {
+	const serviceTime, otherInterval = 700 * time.Millisecond, 10 * time.Millisecond
+	var runs atomic.Int32
+	entry := sealedMesh(t, 5000, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Seal", "s")
+		if r.Header.Get("X-Id") == "slow" {
+			runs.Add(1)
+			time.Sleep(serviceTime)
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	qt.Assert(t, do("GET", entry.url("/get"), "", "X-Id", "first").status, qt.Equals, http.StatusOK)
+	time.Sleep(idleTime)
+	answered := make(chan reply, 1)
+	go func() { answered <- do("GET", entry.url("/get"), "", "X-Id", "slow") }()
+	for range int(serviceTime / otherInterval) {
+		time.Sleep(otherInterval)
+		do("GET", entry.url("/get"), "", "X-Id", "other")
+	}
+	r := <-answered
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r))
+	qt.Assert(t, runs.Load(), qt.Equals, int32(1))
+}
