Forwarder: bytes after a complete response leave it valid

The protocol names additional bytes after a complete response as a fault of upstreams, and says that they belong to no request.

Change: such bytes make a response malformed only if its body contains the beginning of a response, or ends with a part of one that the bytes continue: then a repeated response may have taken the place of the body's end. Otherwise the response is passed on and the connection closed.

TestSurplusBytesLeaveTheResponseValid failed in 15 of 15 cases before and passes now. TestResponseThatStartsOverIsWhole and the tests of second, discarded and endless responses pass unchanged.

--- a/internal/forwarder/reader.go
+++ b/internal/forwarder/reader.go
@@ -63,6 +63,8 @@
 	// collects is set if the body is short enough to be passed on as a whole; collected is its beginning.
 	collects  bool
 	collected []byte
+	// starts looks for the beginning of another response in the body of a response.
+	starts startFinder
 	// chunks decodes a chunked body, or is nil.
 	chunks *chunkDecoder
 	// leftover is the input after the head that Parse has taken from the parser.
@@ -85,6 +87,7 @@
 	r.remaining = 0
 	r.collects = false
 	r.collected = nil
+	r.starts = startFinder{}
 	r.chunks = nil
 	r.leftover = nil
 	r.head = nil
@@ -186,6 +189,7 @@
 		n = int(min(int64(n), r.remaining))
 		r.remaining -= int64(n)
 	}
+	r.scan(data[:n])
 	if r.remaining == 0 && !r.mayFollow(data[n:]) {
 		return n, errSurplus()
 	}
@@ -213,11 +217,24 @@
 	return r.handler.onBody(r.collected)
 }
 
-// mayFollow reports whether input may follow a message at once. After a response, only another one may: other bytes show
-// that the response's length can't be relied on, since a repeated response may have taken the place of its end.
+// passChunk passes on a piece of a chunked body.
+func (r *reader) passChunk(data []byte) error {
+	r.scan(data)
+	return r.handler.onBody(data)
+}
+
+func (r *reader) scan(data []byte) {
+	if r.client {
+		r.starts.scan(data)
+	}
+}
+
+// mayFollow reports whether input may follow a message at once. After a response, another one may, and so may bytes that
+// are none. But if such bytes follow a body with the beginning of a response in it, a repeated response may have taken the
+// place of the body's end.
 func (r *reader) mayFollow(input []byte) bool {
 	n := min(len(input), len(protocolPrefix))
-	return !r.client || string(input[:n]) == protocolPrefix[:n]
+	return !r.client || string(input[:n]) == protocolPrefix[:n] || !r.starts.found(input)
 }
 
 func errSurplus() error {
@@ -225,7 +242,7 @@
 }
 
 func (r *reader) feedChunks(data []byte) (int, error) {
-	n, err := r.chunks.decode(data, r.handler.onBody)
+	n, err := r.chunks.decode(data, r.passChunk)
 	if err != nil {
 		return n, err
 	}
--- a/internal/forwarder/statusline.go
+++ b/internal/forwarder/statusline.go
@@ -26,3 +26,36 @@
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// startFinder looks for the beginning of another response in a body that arrives in pieces. The zero value is ready to use.
+type startFinder struct {
+	// matched is how many bytes of protocolPrefix the body ends with, or all of them once it has contained the whole.
+	matched int
+}
+
+// scan examines the next piece of the body.
+func (s *startFinder) scan(piece []byte) {
+	for i := 0; i < len(piece) && s.matched < len(protocolPrefix); {
+		if s.matched == 0 {
+			// The first byte of protocolPrefix occurs in it only once, so that a mismatch can only begin anew.
+			skipped := bytes.IndexByte(piece[i:], protocolPrefix[0])
+			if skipped < 0 {
+				return
+			}
+			i += skipped
+		}
+		if piece[i] != protocolPrefix[s.matched] {
+			s.matched = 0
+			continue
+		}
+		s.matched++
+		i++
+	}
+}
+
+// found reports whether the body contains protocolPrefix, or ends with a part of it that input, which follows, continues.
+func (s *startFinder) found(input []byte) bool {
+	rest := protocolPrefix[s.matched:]
+	n := min(len(input), len(rest))
+	return s.matched > 0 && string(input[:n]) == rest[:n]
+}
