Forwarder: trailers do not hide the response to the call

What callers would see: a second response with other content, such as a success, in place of the failure that came first. A late response to another call, in chunks, was cut in or after the line of its last chunk.

Change: the beginning of a response in chunk extensions or trailers makes the body malformed, of responses and of requests.

TestTrailersHideNoResponse failed in four of four cases before (200 with the body of the second response) and passes now.

--- a/internal/forwarder/chunks.go
+++ b/internal/forwarder/chunks.go
@@ -34,6 +34,9 @@
 	// digits is the number of digits read of the current chunk's size.
 	digits       int
 	skippedBytes int
+	// starts looks for the beginning of a response in the extensions and trailers. One there takes the place of the body's
+	// missing end.
+	starts startFinder
 }
 
 func (d *chunkDecoder) done() bool { return d.state == chunkDone }
@@ -71,7 +74,7 @@
 	case chunkSize:
 		return d.stepSize(c)
 	case chunkExtension:
-		d.skippedBytes++
+		d.skip(c)
 		if c == '\r' {
 			d.state = chunkSizeLF
 		}
@@ -83,13 +86,13 @@
 		d.digits = 0
 		return d.expect(c, '\n', chunkSize)
 	case chunkTrailer:
-		d.skippedBytes++
+		d.skip(c)
 		d.state = chunkTrailerLine
 		if c == '\r' {
 			d.state = chunkEnd
 		}
 	case chunkTrailerLine:
-		d.skippedBytes++
+		d.skip(c)
 		if c == '\r' {
 			d.state = chunkTrailerLF
 		}
@@ -98,12 +101,21 @@
 	case chunkEnd:
 		return d.expect(c, '\n', chunkDone)
 	}
-	if d.skippedBytes > maxSkippedBytes {
+	switch {
+	case d.skippedBytes > maxSkippedBytes:
 		return malformedChunk("extensions or trailers too long")
+	case d.starts.contained():
+		return malformedChunk("response within extensions or trailers")
 	}
 	return nil
 }
 
+// skip counts and examines a byte of an extension or a trailer.
+func (d *chunkDecoder) skip(c byte) {
+	d.skippedBytes++
+	d.starts.scan([]byte{c})
+}
+
 func (d *chunkDecoder) expect(c, want byte, next chunkState) error {
 	if c != want {
 		return malformedChunk("line end expected")
--- a/internal/forwarder/statusline.go
+++ b/internal/forwarder/statusline.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// contained reports whether the body contains protocolPrefix.
+func (s *startFinder) contained() bool { return s.matched == len(protocolPrefix) }
+
 // found reports whether the body contains protocolPrefix, or ends with a part of it that input, which follows, continues.
 func (s *startFinder) found(input []byte) bool {
 	rest := protocolPrefix[s.matched:]
--- a/internal/forwarder/swallowed_test.go
+++ b/internal/forwarder/swallowed_test.go
@@ -59,3 +59,34 @@
 		})
 	}
 }
+
+// TestTrailersHideNoResponse cuts a late response to another call in its last chunk's line, extension or trailers, so that
+// these include the response to the call in progress, a failure. A second response with other content under the same ID must
+// not take its place.
+func TestTrailersHideNoResponse(t *testing.T) {
+	const failure = "HTTP/1.1 500 Failed\r\nX-Id: 2\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n"
+	for _, end := range []string{"0\r\n", "0;x=", "0\r\nX-Trailer: ", "0\r\nX-Trailer: 1\r\n"} {
+		t.Run(end, func(t *testing.T) {
+			n := newNodeWith(t, "entry", sealedDialect())
+			u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Id") == "1" {
+					w.Header().Set("X-Id", "1")
+					w.Header().Set("X-Seal", "s")
+					return
+				}
+				c := hijack(w)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"+end+failure)
+				time.Sleep(secondDelay)
+				_, _ = io.WriteString(c, secondContent)
+				awaitClose(c)
+			})
+			local := u.local("v1")
+			local.Connections = 1
+			n.publish(snapshotConfig{endpoints: n.endpoints("v1"), local: local, timeoutMs: 1000, attempts: 1})
+			qt.Assert(t, do("GET", n.url("/get"), "", "X-Id", "1").status, qt.Equals, 200)
+			time.Sleep(idleTime)
+			r := do("GET", n.url("/get"), "", "X-Id", "2", "X-Time-Left", "300")
+			qt.Assert(t, r.err == nil && r.status < 300, qt.IsFalse, qt.Commentf("%+v", r))
+		})
+	}
+}
