Forwarder: repeated late responses end no call

What callers saw: 502 upstream-lost for a call whose response the upstream sent. A connection keeps on after it has discarded a late response to another call, but a second one closes it, at whatever later call. An upstream that sends each response again before the next one thus ended every third call on a connection, with an unknown outcome.

Change: a connection that has discarded a response is not reused after the current call.

TestRepeatedLateResponsesEndNoCall failed before (502 at the third call) and passes now.

--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -16,7 +16,8 @@
 	reused bool
 	// response is the head of the response being read, or nil if it is discarded.
 	response *message
-	// skippedStale is set once a late response to an earlier request has been discarded.
+	// skippedStale is set once a late response to an earlier request has been discarded. The connection is then not reused,
+	// since another one would end the next call.
 	skippedStale bool
 	// unforwardedBytes counts the bytes read of the current response's body if that is not forwarded.
 	unforwardedBytes int64
@@ -112,7 +113,7 @@
 		return nil
 	}
 	c.conn.resume()
-	reusable := !surplus && m.keepAlive() && a.requestSent && (m.length >= 0 || m.chunked || bodyless(m.status))
+	reusable := !surplus && !c.skippedStale && m.keepAlive() && a.requestSent && (m.length >= 0 || m.chunked || bodyless(m.status))
 	c.attempt = nil
 	if !reusable {
 		c.conn.close()
--- a/internal/forwarder/swallowed_test.go
+++ b/internal/forwarder/swallowed_test.go
@@ -90,3 +90,34 @@
 		})
 	}
 }
+
+// TestRepeatedLateResponsesEndNoCall lets an upstream send each response a second time before the response to the next call on
+// the connection: all calls must get theirs.
+func TestRepeatedLateResponsesEndNoCall(t *testing.T) {
+	const calls = 6
+	n := newNodeWith(t, "entry", sealedDialect())
+	u := &upstreamServer{address: serveConnections(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		input := bufio.NewReader(c)
+		late := ""
+		for {
+			r, err := http.ReadRequest(input)
+			if err != nil {
+				return
+			}
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\ndone", r.Header.Get("X-Id"))
+			_, _ = io.WriteString(c, late)
+			time.Sleep(secondDelay)
+			_, _ = io.WriteString(c, response)
+			late = response
+		}
+	})}
+	local := u.local("v1")
+	local.Connections = 1
+	n.publish(snapshotConfig{endpoints: n.endpoints("v1"), local: local, timeoutMs: 1000})
+	for i := range calls {
+		r := do("POST", n.url("/post"), "", "X-Id", fmt.Sprintf("call-%d", i))
+		qt.Assert(t, r.status, qt.Equals, 200, qt.Commentf("call %d: %+v", i, r))
+		time.Sleep(idleTime)
+	}
+}
