Forwarder: the node beside the upstream finds responses that start over

The node where the call entered the mesh looks for that only in responses that it buffers: not in those above 256 KiB, nor in the response to a claim, which the node beside the upstream had saved.

Change: the node beside the upstream looks for the head of a response to the call in each piece of the body. One that is split between two pieces of a long body is not found there.

--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -95,10 +95,10 @@
 	}
 	switch {
 	case c.attempt == nil:
+	case c.conn.local && c.attempt.exchange.hasResponseHead(data):
+		return &Error{Operation: "read", Kind: KindMalformed, Detail: "response within the body of another"}
 	case c.response != nil:
 		c.attempt.onResponseBody(data)
-	case c.attempt.exchange.hasResponseHead(data):
-		return &Error{Operation: "read", Kind: KindMalformed, Detail: "response within a discarded one"}
 	}
 	return nil
 }
