Forwarder: a response without a length frees one connection, not two

Cause: the pool counted the end of a connection twice if it was also the end of a response: when the response was complete and not reusable, and when the connection was reported as closed. Each such response thus raised the limit of connections to that address by one, for good. An upstream resets connections beyond its limit, and the calls on them are lost (upstream-lost, at an age of 0 ms).

Change: a connection that its peer has closed is counted where that is reported.

--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -116,8 +116,7 @@
 	reusable := !surplus && !c.skippedStale && m.keepAlive() && a.requestSent && (m.length >= 0 || m.chunked || bodyless(m.status))
 	c.attempt = nil
 	if !reusable {
-		c.conn.close()
-		c.pool.onConnClosed(c)
+		c.discard()
 	}
 	a.onResponseEnd()
 	if reusable {
@@ -150,8 +149,8 @@
 	}
 }
 
-// discard closes the connection because its attempt is cancelled, so that a late response can't be taken for that of
-// another attempt.
+// discard closes the connection, unless it is closed already, because its attempt is cancelled or it can't be reused: a late
+// response can't be taken for that of another attempt. onClose counts the close of a connection that its peer has closed.
 func (c *clientConn) discard() {
 	c.attempt = nil
 	if c.conn.closed {
