Forwarder: a drained node takes no more calls

Cause: a connection is accepted on one goroutine and registered by the poller on another. Drain counts registered connections only. On an idle node it closed the listeners, found nothing left and returned while an accepted connection still waited to be registered.

Change: once Drain has found nothing left, or its time is over, every call is refused (node-leaving, 503, not run). The check and the refusal are one critical section.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -259,7 +259,8 @@
 }
 
 // Drain closes the listeners and waits, up to the timeout, until all calls have ended and all accepted connections are
-// closed. Callers are told to close their connections with the next response. It reports whether none is left in time.
+// closed. Callers are told to close their connections with the next response. It reports whether none is left in time. From
+// then on, every call is refused.
 func (f *Forwarder) Drain(timeout time.Duration) bool {
 	const pollInterval = 20 * time.Millisecond
 	f.mu.Lock()
@@ -273,10 +274,22 @@
 		}
 		time.Sleep(pollInterval)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refuseCalls(time.Now())
 	return false
 }
 
-// closeIdle closes connections that have been idle for a while, and reports whether no connection and no call is left.
+// refuseCalls has every call refused that starts from now on, since the process is about to exit. A connection that was
+// accepted before may only now be registered with the poller.
+func (f *Forwarder) refuseCalls(now time.Time) {
+	if f.leaveDeadline.IsZero() || now.Before(f.leaveDeadline) {
+		f.leaveDeadline = now
+	}
+}
+
+// closeIdle closes connections that have been idle for a while, and reports whether no connection and no call is left. If
+// so, no call starts any more.
 func (f *Forwarder) closeIdle(now time.Time) bool {
 	const minIdle = 300 * time.Millisecond
 	f.mu.Lock()
@@ -286,7 +299,11 @@
 			s.conn.closeWhenDrained()
 		}
 	}
-	return len(f.serverConns) == 0 && len(f.calls) == 0
+	if len(f.serverConns) > 0 || len(f.calls) > 0 {
+		return false
+	}
+	f.refuseCalls(now)
+	return true
 }
 
 // Close stops the forwarder without waiting for calls. It waits for its own goroutines, but not for the poller.
