Forwarder: every call of a leaving node ends before the process

Cause: a leaving node gave only calls that started after SIGTERM, and entered the mesh there, a deadline that ends with it. Calls in progress at SIGTERM kept theirs: if their upstream took longer than the process lived, their connection closed without a response. The same held for calls of other nodes to the upstream beside it. Of these, calls that waited for a slot were even passed on when the process was about to exit, and non-idempotent ones ended there as 502, may have run, though they could have been refused before. A call that had been taken before the drain could also be passed on to another try with hardly any time left.

Change: at SIGTERM, the deadlines of all calls in progress that outlast the node move to its last moment for responses, and those of calls of other nodes that come until it drains do too. The queue refuses what can't get a slot in time by that.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -29,6 +29,10 @@
 		x.refuseNotRun(x.reasonWithoutEndpoint(service))
 		return
 	}
+	if x.tooLateForNode(e, time.Now()) {
+		x.refuseNotRun(reasonNodeLeaving)
+		return
+	}
 	if x.tried == nil {
 		x.tried = map[string]bool{}
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -47,6 +47,8 @@
 	idempotent bool
 	startedAt  time.Time
 	deadline   time.Time
+	// endsWithNode reports whether the deadline is earlier than the caller's because this node is leaving.
+	endsWithNode bool
 	// targetAt is the call's latency target: a later response counts as late. It is zero if the route has none.
 	targetAt time.Time
 	// progressSentAt is when an interim response was last sent to show that the call is still in progress.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -209,14 +209,23 @@
 	defer f.mu.Unlock()
 	f.updateLocal(snapshot)
 	if snapshot.Leaving && f.leaveDeadline.IsZero() {
-		s := f.common.Settings
-		f.leaveDeadline = time.Now().Add(s.LeaveDelay + s.DrainTimeout - leaveMargin)
+		f.leave()
 	}
 	for _, b := range f.budgets {
 		b.Resize(snapshot.MemberCount)
 	}
 }
 
+// leave sets the time until which the node, which begins to leave, can answer calls, also for those in progress. Their
+// callers would otherwise see their connections close without a response when the process exits.
+func (f *Forwarder) leave() {
+	s := f.common.Settings
+	f.leaveDeadline = time.Now().Add(s.LeaveDelay + s.DrainTimeout - leaveMargin)
+	for x := range f.calls {
+		x.endWithNode()
+	}
+}
+
 // run closes idle connections and removes expired entries at intervals until Close.
 func (f *Forwarder) run() {
 	defer close(f.done)
--- a/internal/forwarder/keys.go
+++ b/internal/forwarder/keys.go
@@ -96,7 +96,7 @@
 		x.respondToRepeat(e)
 		return
 	}
-	if x.refusedByDrainingNode() {
+	if x.refusedByLeavingNode() {
 		return
 	}
 	x.keyEntry = f.keys.start(x.scopedKey(), time.Now().Add(keyLifetime))
--- a/internal/forwarder/start.go
+++ b/internal/forwarder/start.go
@@ -9,6 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/tamarackpitch/tamarackpitch/internal/admitter"
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
@@ -70,13 +72,9 @@
 	x.setDeadline(x.callerDeadline())
 	x.rank = x.snapshot.Rank(x.route.Class)
 	x.targetAt = x.callerTarget()
-	if x.refusedByDrainingNode() {
+	if x.refusedByLeavingNode() {
 		return
 	}
-	if x.outlastsNode() {
-		// The caller is answered while this node can still do so.
-		x.setDeadline(f.leaveDeadline)
-	}
 	x.startRouted()
 }
 
@@ -87,16 +85,38 @@
 	return !end.IsZero() && end.Before(x.deadline)
 }
 
-// refusedByDrainingNode refuses a call that outlasts this node once it drains, and reports whether it did. Such a call
-// could be broken off while its upstream processes it; before it runs, another node can take it.
-func (x *exchange) refusedByDrainingNode() bool {
-	if !x.forwarder.draining || !x.outlastsNode() {
+// refusedByLeavingNode refuses a call that outlasts this node once it drains, and reports whether it did. Such a call
+// could be broken off while its upstream processes it; before it runs, another node can take it. Until the node drains,
+// the call is taken, but has to be answered while the node can still do so.
+func (x *exchange) refusedByLeavingNode() bool {
+	if !x.forwarder.draining {
+		x.endWithNode()
+		return false
+	}
+	if !x.outlastsNode() {
 		return false
 	}
 	x.refuse(503, reasonNodeLeaving, runNo)
 	return true
 }
 
+// endWithNode moves the deadline of a call that outlasts this node to the time until which the node can answer it.
+func (x *exchange) endWithNode() {
+	if x.outlastsNode() {
+		x.endsWithNode = true
+		x.setDeadline(x.forwarder.leaveDeadline)
+	}
+}
+
+// tooLateForNode reports whether a non-idempotent call that was taken before this node drained would run at an endpoint
+// now, but is not expected to be answered before the node exits.
+func (x *exchange) tooLateForNode(e *balancer.Endpoint, now time.Time) bool {
+	if !x.forwarder.draining || !x.endsWithNode || x.idempotent {
+		return false
+	}
+	return now.After(admitter.StartBy(admitter.Request{Deadline: x.deadline}, e.Load.ServiceTime(now), now))
+}
+
 // startRouted continues with a call whose route is known.
 func (x *exchange) startRouted() {
 	f := x.forwarder
@@ -245,7 +265,7 @@
 		x.serveAsKeyOwner()
 		return
 	}
-	if x.refusedByDrainingNode() {
+	if x.refusedByLeavingNode() {
 		return
 	}
 	x.admitLocal()
