Forwarder: a draining node hears its upstream and the claims of others

Cause: a leaving node closed both listeners when it began to drain. An upstream has no other node for its own calls: those that it made on new connections for calls which it still ran were refused a connection, so that these calls failed. And a node whose call crossed the close of a connection could not ask for its outcome: a non-idempotent call that had not arrived ended as 502, may have run.

Change: callers may connect while the upstream beside the node runs calls or has some queued, up to the node's last moment for responses; what outlasts the node is refused as before. Other nodes may connect until the process ends; after the drain, every call is refused. The upstream of a leaving node gets a deadline 100 ms sooner with calls that end with the node: its own calls expire with theirs, and were refused for their transit. It then also answers itself before the node would do so in its place.

TestDrainedNodeTakesCallsOfOtherNodes holds the end of the listener that stays open.

--- a/internal/forwarder/attempthead.go
+++ b/internal/forwarder/attempthead.go
@@ -36,7 +36,11 @@
 
 // writeUpstreamFields writes the header fields that only the upstream gets.
 func (a *attempt) writeUpstreamFields(b *bytes.Buffer, d Dialect) {
-	left := max(time.Until(a.exchange.deadline).Milliseconds(), 1)
+	deadline := a.exchange.deadline
+	if a.exchange.endsWithNode {
+		deadline = deadline.Add(-upstreamMargin)
+	}
+	left := max(time.Until(deadline).Milliseconds(), 1)
 	writeField(b, d.TimeLeft, strconv.FormatInt(left, 10))
 	if l := a.exchange.forwarder.local.upstream; d.ExpectInstance != "" && l != nil && l.Instance != "" {
 		writeField(b, d.ExpectInstance, l.Instance)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -32,7 +32,10 @@
 	defaultQueueLength = 64
 	sweepInterval      = time.Second
 	// leaveMargin is how long before a leaving node exits its last responses are due.
-	leaveMargin     = 200 * time.Millisecond
+	leaveMargin = 200 * time.Millisecond
+	// upstreamMargin is how much sooner the deadline is that the upstream of a leaving node gets with a call that ends with the
+	// node: calls that the upstream makes meanwhile expire with it, and must not outlast the node by their transit.
+	upstreamMargin  = 100 * time.Millisecond
 	bytesPerMegabit = 1e6 / 8
 	// payloadShare is the share of the link's bandwidth left for payload after packet headers and acknowledgements.
 	payloadShare = 0.92
@@ -179,6 +182,9 @@
 	}
 }
 
+// closeCallerListener stops accepting connections of callers.
+func (f *Forwarder) closeCallerListener() { _ = f.acceptors[0].listener.Close() }
+
 // onClose is called by the poller on a separate goroutine.
 func (f *Forwarder) onClose(c *nbio.Conn, err error) {
 	if n, ok := c.Session().(*conn); ok {
@@ -267,28 +273,44 @@
 	return binary.BigEndian.Uint64(b[:])
 }
 
-// Drain closes the listeners and waits, up to the timeout, until all calls have ended and all accepted connections are
-// closed. Callers are told to close their connections with the next response. It reports whether none is left in time. From
-// then on, every call is refused.
+// Drain waits, up to the timeout, until all calls have ended and all accepted connections are closed. Callers are told to
+// close their connections with the next response. It reports whether none is left in time. From then on, every call is
+// refused.
+//
+// New connections of callers are accepted as long as the local upstream runs calls: it may make calls of its own for them,
+// and it has no other node to send these to. Other nodes may connect until Close, to ask for the outcome of calls that they
+// sent here.
 func (f *Forwarder) Drain(timeout time.Duration) bool {
 	const pollInterval = 20 * time.Millisecond
 	f.mu.Lock()
 	f.draining = true
 	f.mu.Unlock()
-	f.closeListeners()
 	deadline := time.Now().Add(timeout)
 	for time.Now().Before(deadline) {
+		if !f.upstreamMayCall(time.Now()) {
+			f.closeCallerListener()
+		}
 		if f.closeIdle(time.Now()) {
 			return true
 		}
 		time.Sleep(pollInterval)
 	}
+	f.closeCallerListener()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refuseCalls(time.Now())
 	return false
 }
 
+// upstreamMayCall reports whether the local upstream runs calls, or will run those that are queued, and may make calls of its
+// own that the node can still answer.
+func (f *Forwarder) upstreamMayCall(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	load, _ := f.localLoad()
+	return load > 0 && (f.leaveDeadline.IsZero() || now.Before(f.leaveDeadline))
+}
+
 // refuseCalls has every call refused that starts from now on, since the process is about to exit. A connection that was
 // accepted before may only now be registered with the poller.
 func (f *Forwarder) refuseCalls(now time.Time) {
--- a/internal/forwarder/plannedstop_test.go
+++ b/internal/forwarder/plannedstop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -130,6 +131,135 @@
 	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
 }
 
+// crossing passes connections on to a node. Once cut is set, it hides that the node closes a connection opened before, until
+// a call arrives on it: such a call crosses the close. Connections opened since are passed on.
+type crossing struct {
+	address string
+	target  string
+	cut     atomic.Bool
+}
+
+func newCrossing(t *testing.T, target string) *crossing {
+	t.Helper()
+	c := &crossing{target: target}
+	c.address = serveConnections(t, c.serve)
+	return c
+}
+
+func (c *crossing) serve(from net.Conn) {
+	defer func() { _ = from.Close() }()
+	to, err := net.Dial("tcp", c.target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = to.Close() }()
+	openedCut := c.cut.Load()
+	go func() {
+		_, _ = io.Copy(from, to)
+		if openedCut || !c.cut.Load() {
+			_ = from.Close()
+		}
+	}()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil || c.cut.Load() && !openedCut {
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// openHead opens a connection and sends a part of a head on it, so that a draining node does not close it as idle.
+func openHead(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, post("/post")[:openHeadBytes])
+	qt.Assert(t, err, qt.IsNil)
+	return c
+}
+
+// startDrainBeside makes the node drain while a connection is in use, and waits until it has closed an idle one.
+func (n *testNode) startDrainBeside(t *testing.T) {
+	t.Helper()
+	callers, _ := n.Addresses()
+	idle, err := net.Dial("tcp", callers)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = idle.Close() }()
+	openHead(t, callers)
+	qt.Assert(t, do("GET", n.url("/unknown"), "").status, qt.Equals, http.StatusNotFound)
+	go n.Drain(n.common.Settings.DrainTimeout)
+	qt.Assert(t, idle.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, err = idle.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
+
+// TestDrainingNodeRefusesClaims sends a non-idempotent call to a draining node on a connection that it closes before it reads
+// the call. The claim must learn that the call has not arrived, so that the caller may repeat it.
+func TestDrainingNodeRefusesClaims(t *testing.T) {
+	entry, sidecar := newNode(t, "entry"), newNode(t, "sidecar")
+	sidecar.common.Settings.DrainTimeout = drainTime
+	u := newUpstream(t, respondWith("ran"))
+	_, peers := sidecar.Addresses()
+	c := newCrossing(t, peers)
+	endpoints := []*balancer.Endpoint{endpoint("sidecar", "v1", c.address)}
+	entry.publish(snapshotConfig{endpoints: endpoints})
+	snapshot := snapshotConfig{endpoints: endpoints, local: u.local("v1")}
+	sidecar.publish(snapshot)
+	qt.Assert(t, do("POST", entry.url("/post"), "pay").body, qt.Equals, "ran")
+	snapshot.leaving = true
+	sidecar.publish(snapshot)
+	c.cut.Store(true)
+	sidecar.startDrainBeside(t)
+	r := do("POST", entry.url("/post"), "pay")
+	qt.Assert(t, entry.Stats().Claims.Load() > 0, qt.IsTrue)
+	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s, run %s", r.refusal, r.run))
+	qt.Assert(t, r.run, qt.Equals, "no")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+}
+
+// TestRunningUpstreamCannotCallOut lets the upstream of a draining node make a call of its own, on a new connection, while
+// it runs a call that the node has taken before, and with that call's deadline. The upstream has no other node to send it to.
+func TestRunningUpstreamCannotCallOut(t *testing.T) {
+	entry, sidecar, other := newNode(t, "entry"), newNode(t, "sidecar"), newNode(t, "other")
+	sidecar.common.Settings.DrainTimeout = drainTime
+	draining := make(chan struct{})
+	child := make(chan reply, 1)
+	parent := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		began := time.Now()
+		<-draining
+		left, _ := strconv.Atoi(r.Header.Get("Tamarackpitch-Time-Left"))
+		left -= int(time.Since(began).Milliseconds())
+		child <- do("POST", sidecar.url("/post/child"), "pay", "Tamarackpitch-Time-Left", strconv.Itoa(left))
+		_, _ = io.WriteString(w, "parent ran")
+	})
+	u := newUpstream(t, respondWith("child ran"))
+	other.publish(snapshotConfig{endpoints: other.endpoints("v1"), local: u.local("v1")})
+	entry.publish(snapshotConfig{endpoints: sidecar.endpoints("v1")})
+	sidecar.publish(snapshotConfig{endpoints: other.endpoints("v1"), local: parent.local("v1"), leaving: true})
+	replies := start("POST", entry.url("/post/parent"))
+	eventually(t, "the call runs", func() bool { return parent.runs.Load() == 1 })
+	sidecar.startDrainBeside(t)
+	close(draining)
+	r := <-child
+	qt.Assert(t, r.err, qt.IsNil)
+	qt.Assert(t, r.body, qt.Equals, "child ran")
+	qt.Assert(t, (<-replies).body, qt.Equals, "parent ran")
+	// Nothing more can call out, so that the node takes no new connections.
+	callers, _ := sidecar.Addresses()
+	eventually(t, "the node closes its listener", func() bool {
+		c, err := net.Dial("tcp", callers)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+}
+
 // TestCallsArePassedOnTooLate makes a non-idempotent call that its node has taken before it drained, and that the only
 // upstream's node refuses so late that a second try could not be answered before the first node exits.
 func TestCallsArePassedOnTooLate(t *testing.T) {
@@ -183,3 +313,20 @@
 		})
 	}
 }
+
+// TestDrainedNodeTakesCallsOfOtherNodes sends a call, as another node does, to a node whose drain has ended early. The call
+// would end before the drain timeout, but the process exits at once.
+func TestDrainedNodeTakesCallsOfOtherNodes(t *testing.T) {
+	n := newNode(t, "sidecar")
+	n.common.Settings.DrainTimeout = drainTime
+	u := newUpstream(t, respondWith("ran"))
+	n.publish(snapshotConfig{endpoints: n.endpoints("v1"), local: u.local("v1"), leaving: true})
+	qt.Assert(t, n.Drain(drainTime), qt.IsTrue)
+	_, peers := n.Addresses()
+	r := do("POST", "http://"+peers+"/post", "pay", "Tamarackpitch-Operation", "call", "Tamarackpitch-Id", "7",
+		"Tamarackpitch-Time-Left", "100", "Tamarackpitch-Route", "post", "Tamarackpitch-Service", "s")
+	qt.Assert(t, r.err, qt.IsNil)
+	qt.Assert(t, r.refusal, qt.Equals, "node-leaving")
+	qt.Assert(t, r.run, qt.Equals, "no")
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(0))
+}
