Forwarder: responses that have begun at SIGTERM may take until the process ends

Cause: since every call of a leaving node ends with it, a response that had begun before SIGTERM was cut off at its last moment for responses, a quarter of a second later, although the process lives on for up to 0.4 s. Nothing else can be answered in its place.

Change: calls whose response has begun keep their deadline.

Result: TestBegunResponsesAreCutBeforeTheEnd failed before (unexpected EOF), and passes.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -223,12 +223,15 @@
 }
 
 // leave sets the time until which the node, which begins to leave, can answer calls, also for those in progress. Their
-// callers would otherwise see their connections close without a response when the process exits.
+// callers would otherwise see their connections close without a response when the process exits. Responses that have begun
+// may take until then.
 func (f *Forwarder) leave() {
 	s := f.common.Settings
 	f.leaveDeadline = time.Now().Add(s.LeaveDelay + s.DrainTimeout - leaveMargin)
 	for x := range f.calls {
-		x.endWithNode()
+		if !x.headSent {
+			x.endWithNode()
+		}
 	}
 }
 
--- a/internal/forwarder/plannedstop_test.go
+++ b/internal/forwarder/plannedstop_test.go
@@ -330,3 +330,30 @@
 	qt.Assert(t, r.run, qt.Equals, "no")
 	qt.Assert(t, u.runs.Load(), qt.Equals, int64(0))
 }
+
+// TestBegunResponsesAreCutBeforeTheEnd lets a node leave while it passes a response on, which ends after the last moment for
+// other responses, but while the process lives.
+func TestBegunResponsesAreCutBeforeTheEnd(t *testing.T) {
+	const rest = shortDrain + 200*time.Millisecond
+	n := newNode(t, "entry")
+	n.common.Settings.DrainTimeout = shortDrain
+	begun := make(chan struct{})
+	u := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "begun, ")
+		w.(http.Flusher).Flush()
+		<-begun
+		time.Sleep(rest)
+		_, _ = io.WriteString(w, "ended")
+	})
+	snapshot := snapshotConfig{endpoints: n.endpoints("v1"), local: u.local("v1")}
+	n.publish(snapshot)
+	response, err := http.Get(n.url("/get"))
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	snapshot.leaving = true
+	n.publish(snapshot)
+	close(begun)
+	body, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(body), qt.Equals, "begun, ended")
+}
