Poller: no connection is registered once Stop has begun

Cause: Stop emptied the queues and let the engine stop while the loop could still be registering connections that it had taken from the queue before. The engine's wait group was then raised while Stop waited for it (reported once by the race detector), and the engine, which walks its connections once, could miss one. Connections still queued were closed without a callback.

Change: Stop only marks the poller as stopped and wakes the loop. The loop closes what is queued, calls back with KindClosed, and tells Stop, which then stops the engine. Registrations and the end of them run on one goroutine, so none can follow.

Test: TestStopDuringRegistration stops a poller in the callback of one of several connections that were taken together.

--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -30,7 +30,7 @@
 // pendingConn is a connection that the loop has not registered yet.
 type pendingConn struct {
 	connection *nbio.Conn
-	// opened is called on the loop once the connection is registered, or with the error if that failed.
+	// opened is called on the loop once the connection is registered, or with an error if it was closed instead.
 	opened func(*nbio.Conn, error)
 }
 
@@ -44,7 +44,14 @@
 	// current holds the connections to register on the wake-up that has been sent, next those that were added after it.
 	// next is empty if current is.
 	current, next []pendingConn
-	stopped       bool
+	// stopped is set by Stop. From then on Add fails, and the loop closes what is queued.
+	stopped bool
+
+	// rejected is closed by the loop once stopped is set and both queues are empty: no connection is registered, and no
+	// opened callback called, from then on.
+	rejected chan struct{}
+	// rejectedOnce guards the close of rejected.
+	rejectedOnce sync.Once
 }
 
 // New returns a running Poller. It silences the logging of nbio.
@@ -54,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Poller{config: c, waker: w}
+	p := &Poller{config: c, waker: w, rejected: make(chan struct{})}
 	p.engine = nbio.NewEngine(nbio.Config{NPoller: 1, EpollMod: nbio.EPOLLET})
 	p.engine.OnClose(p.onClose)
 	p.engine.OnRead(p.onRead)
@@ -70,8 +77,8 @@
 }
 
 // Add passes a connection to the loop. opened is called on the loop before the first event, or with an error if the
-// connection could not be registered and was closed. If Add itself fails, it closes the connection and opened is not
-// called.
+// connection could not be registered or the poller was stopped before, and the connection was closed. If Add itself
+// fails, it closes the connection and opened is not called.
 func (p *Poller) Add(connection net.Conn, opened func(*nbio.Conn, error)) error {
 	c, err := nbio.NBConn(connection)
 	if err != nil {
@@ -83,7 +90,7 @@
 	defer p.mu.Unlock()
 	if p.stopped {
 		_ = c.Close()
-		return &Error{Operation: "add", Kind: KindClosed, Detail: "poller stopped"}
+		return errStopped()
 	}
 	if len(p.current) > 0 {
 		p.next = append(p.next, n)
@@ -94,9 +101,17 @@
 	return nil
 }
 
-// registerPending registers the current connections and sends a wake-up for the next ones. It runs on the loop.
+// registerPending registers the current connections and sends a wake-up for the next ones. Once the poller is stopped it
+// closes all of them instead. It runs on the loop.
 func (p *Poller) registerPending() {
 	p.mu.Lock()
+	if p.stopped {
+		queued := append(p.current, p.next...)
+		p.current, p.next = nil, nil
+		p.mu.Unlock()
+		p.reject(queued)
+		return
+	}
 	batch := p.current
 	p.current, p.next = p.next, nil
 	if len(p.current) > 0 {
@@ -112,6 +127,17 @@
 	}
 }
 
+// reject closes connections that were queued when the poller was stopped.
+func (p *Poller) reject(queued []pendingConn) {
+	for _, n := range queued {
+		_ = n.connection.Close()
+		n.opened(nil, errStopped())
+	}
+	p.rejectedOnce.Do(func() { close(p.rejected) })
+}
+
+func errStopped() error { return &Error{Operation: "add", Kind: KindClosed, Detail: "poller stopped"} }
+
 func (p *Poller) onRead(c *nbio.Conn) {
 	if p.waker.isReadEnd(c) {
 		p.waker.drain()
@@ -132,16 +158,15 @@
 // Async calls a function on its own goroutine.
 func (p *Poller) Async(call func()) { p.engine.Async(call) }
 
-// Stop stops the loop and closes all connections. It waits for the last callback of each registered one.
+// Stop stops the loop and closes all connections. It waits for the last callback of each one that Add has taken. The
+// engine must not begin to stop while the loop still registers connections: it would miss those that it registers
+// later. Stop must be called once, and not on the loop.
 func (p *Poller) Stop() {
 	p.mu.Lock()
 	p.stopped = true
-	unregistered := append(p.current, p.next...)
-	p.current, p.next = nil, nil
 	p.mu.Unlock()
-	for _, n := range unregistered {
-		_ = n.connection.Close()
-	}
+	p.waker.wake()
+	<-p.rejected
 	p.engine.Stop()
 	p.waker.close()
 }
