Log client: a starting node builds the newest state from the log

Cause: Newest of tamarackpitch's own log dialect returned only the end offset of the log. A starting node then waited for that position, but a node that is not ready reads no records, and with all nodes of a mesh restarting no neighbour could send the state either. The same held for a node alone.

Change: Newest returns the state up to the end of the log, as that of the users' platform does. It starts from the newest usable checkpoint, found page by page from the end, or from the first record, and applies all records that follow, so that no older state is ever installed as the newest. If the log retains neither, Newest returns only the end offset, as before, and the node logs that only neighbours can supply the state. Recover uses the same search; it no longer reads every retained record, and no longer takes a checkpoint whose state is invalid or from beyond its own offset.

Of the tests of the log client, TestNewestReadsAllRecords, TestNewestStartsFromCheckpoint, TestNewestSkipsUnusableCheckpoints and TestNewestOfRandomLogs failed before; TestRecoverReturnsNewestCheckpoint holds before and after.

--- a/internal/controller/configlog.go
+++ b/internal/controller/configlog.go
@@ -20,9 +20,10 @@
 
 // NewestConfig is the newest configuration as a starting node finds it in the log.
 type NewestConfig struct {
-	// State is the newest configuration, or nil if it has to be built from the records.
+	// State is the newest configuration, with all records below Next applied, or nil if the log no longer retains what
+	// it is built from. Then only neighbours can supply it.
 	State *schema.State
-	// Next is the offset after the newest record. The node may become ready once it has applied all records below it.
+	// Next is the offset after the newest record. The node may become ready once it has reached that position.
 	Next uint64
 }
 
@@ -39,7 +40,7 @@
 
 // ConfigLog is the controller's access to the configuration log. All methods may be called from several goroutines.
 type ConfigLog interface {
-	// Newest returns the newest configuration, or only the offset up to which a starting node has to apply records.
+	// Newest returns the newest configuration, up to the end of the log, or only that end if the log does not retain it.
 	Newest(ctx context.Context) (NewestConfig, error)
 	// Discover returns the members to dial and the saved rollout progress.
 	Discover(ctx context.Context) (Discovery, error)
--- a/internal/controller/joiner.go
+++ b/internal/controller/joiner.go
@@ -163,6 +163,9 @@
 	k.start.observeLog(newest.Next)
 	if newest.State != nil {
 		k.installStateSnapshot(&schema.Snapshot{State: newest.State}, now)
+	} else if k.state.Position < newest.Next {
+		k.common.Logger.Warn("the log does not retain the newest configuration, only neighbours can supply it",
+			"position", k.state.Position, "next", newest.Next)
 	}
 	if k.state.Position >= newest.Next {
 		k.observeLogRead(now)
--- a/internal/logclient/configlog.go
+++ b/internal/logclient/configlog.go
@@ -23,12 +23,6 @@
 // NewConfigLog returns a ConfigLog.
 func NewConfigLog(c *Client) *ConfigLog { return &ConfigLog{client: c} }
 
-// Newest returns the end offset of the configuration stream, and no state: the state is built from the records.
-func (l *ConfigLog) Newest(ctx context.Context) (controller.NewestConfig, error) {
-	_, next, err := l.client.Bounds(ctx, ConfigStream)
-	return controller.NewestConfig{Next: next}, err
-}
-
 // Discover returns the distinct control addresses in the newest records of the join stream.
 func (l *ConfigLog) Discover(ctx context.Context) (controller.Discovery, error) {
 	members, err := l.members(ctx)
@@ -76,39 +70,17 @@
 	return controller.LogPage{Records: records, First: page.First, Next: page.Next}, nil
 }
 
-// Recover returns the state of the newest retained checkpoint beyond a position, provided that all records after that
-// checkpoint are retained too. It reads every retained record.
+// Recover returns the state of the newest usable checkpoint beyond a position.
 func (l *ConfigLog) Recover(ctx context.Context, position uint64, bounds controller.LogPage) (*schema.State, error) {
-	var found *schema.State
-	for at := bounds.First; at < bounds.Next; {
-		page, err := l.client.Read(ctx, ConfigStream, at, 0)
-		if err != nil {
-			return nil, err
-		}
-		if len(page.Records) == 0 {
-			break
-		}
-		for _, record := range page.Records {
-			at = record.Offset + 1
-			if s := checkpointState(record.Body); s != nil && s.Position > position && s.Position >= bounds.First {
-				found = s
-			}
-		}
+	found, err := l.newestCheckpoint(ctx, bounds.First, bounds.Next, position+1)
+	if err != nil {
+		return nil, err
 	}
 	if found == nil {
 		return nil, &Error{Operation: "recover", Kind: KindExpired,
 			Cause: errors.New("no usable checkpoint among the retained records")}
 	}
-	return found, nil
-}
-
-// checkpointState returns the state of a checkpoint record, or nil for any other record.
-func checkpointState(body []byte) *schema.State {
-	record := &schema.Record{}
-	if proto.Unmarshal(body, record) != nil {
-		return nil
-	}
-	return record.GetCheckpoint().GetState()
+	return found.Encode(), nil
 }
 
 // Append appends a record to the configuration stream.
