Operator, log: a repeated append adds no record

Cause: commit appended a record again whenever it had not found the record in the log, also when the log had confirmed the first append, or when only the read that looked for it had failed; and an append that failed could still take effect after the next one.

Change: commit appends again only if no append was confirmed and the log, read to its end since, does not hold the record. Appends carry the record's id, and the log answers a second one with the offset of the retained record instead of adding another; an append without an id always adds one. A log that ignores the id works as before: the repeated record is void.

Test: of the cases of TestRecordIsAppendedOnce, four failed before: "answer lost and read failed" and "answered and read failed" (version 4 instead of 2), "in effect right before the next" and "right after" (3 instead of 2).

--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/requester"
@@ -40,9 +41,10 @@
 func New(c Config) *Client { return &Client{config: c} }
 
 // Append appends a record and returns its offset. After an error of KindUnavailable the record may or may not have
-// been appended.
-func (c *Client) Append(ctx context.Context, stream string, body []byte) (uint64, error) {
-	path := fmt.Sprintf("%s/streams/%s/records", c.config.URL, stream)
+// been appended, or may still be. An append with the id of a retained record has no effect and returns that record's
+// offset, so that an append can be repeated; with an empty id each append adds a record.
+func (c *Client) Append(ctx context.Context, stream, id string, body []byte) (uint64, error) {
+	path := fmt.Sprintf("%s/streams/%s/records?id=%s", c.config.URL, stream, url.QueryEscape(id))
 	var appended AppendResponse
 	err := c.do(ctx, "append", http.MethodPost, path, body, c.config.Timeout, &appended)
 	return appended.Offset, err
@@ -67,11 +69,11 @@
 }
 
 // do sends a request and decodes the response into a value.
-func (c *Client) do(ctx context.Context, operation, method, url string, body []byte, timeout time.Duration,
+func (c *Client) do(ctx context.Context, operation, method, address string, body []byte, timeout time.Duration,
 	into any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	response, err := c.config.Requester.Do(ctx, method, url, body)
+	response, err := c.config.Requester.Do(ctx, method, address, body)
 	if err != nil {
 		return &Error{Operation: operation, Kind: KindUnavailable, Cause: err}
 	}
--- a/internal/logclient/configlog.go
+++ b/internal/logclient/configlog.go
@@ -83,13 +83,13 @@
 	return found.Encode(), nil
 }
 
-// Append appends a record to the configuration stream.
+// Append appends a record to the configuration stream. Repeated appends of a record have the same id.
 func (l *ConfigLog) Append(ctx context.Context, record *schema.Record) error {
 	body, err := proto.Marshal(record)
 	if err != nil {
 		return &Error{Operation: "append", Kind: KindRefused, Cause: err}
 	}
-	_, err = l.client.Append(ctx, ConfigStream, body)
+	_, err = l.client.Append(ctx, ConfigStream, record.Id, body)
 	return err
 }
 
@@ -98,7 +98,7 @@
 
 // SaveSeed appends a member's control address to the join stream.
 func (l *ConfigLog) SaveSeed(ctx context.Context, m *schema.Member) error {
-	_, err := l.client.Append(ctx, JoinStream, []byte(m.ControlAddress))
+	_, err := l.client.Append(ctx, JoinStream, "", []byte(m.ControlAddress))
 	return err
 }
 
--- a/internal/operator/publish.go
+++ b/internal/operator/publish.go
@@ -65,8 +65,9 @@
 	return o.commit(ctx, state, &schema.Record{Body: &schema.Record_Drain{Drain: &schema.Drain{Node: node, Draining: draining}}})
 }
 
-// commit appends a record and repeats that until the record is found in the log or ctx ends. Repeated appends have the
-// same id and change nothing, so that the loss of a response does no harm.
+// commit appends a record and waits until the record is found in the log or ctx ends. An append without an answer is
+// repeated, but only once the log has been read to its end without finding the record. Since the first append may take
+// effect even after that, all have the same id, by which the log recognises them: the record gets one offset.
 func (o *Operator) commit(ctx context.Context, state *reducer.State, r *schema.Record) (PublishResult, error) {
 	r.Id = newRecordID()
 	r.Author = o.config.Author
@@ -79,17 +80,21 @@
 		return PublishResult{}, &Error{Operation: "publish", Kind: KindInvalid, Detail: "record larger than 512 KiB; publish it in parts"}
 	}
 	f := &logFollower{operator: o, state: state}
-	// appended is set once the log may hold the record.
-	appended := false
+	// appended is set once the log may hold the record, and confirmed once the log has said that it does.
+	appended, confirmed := false, false
+	// due is set while the record is to be appended in the next iteration.
+	due := true
 	for {
-		_, err := o.log.Append(ctx, logclient.ConfigStream, body)
-		var logError *logclient.Error
-		refused := errors.As(err, &logError) && logError.Kind == logclient.KindRefused
-		appended = appended || !refused
+		if due {
+			_, err := o.log.Append(ctx, logclient.ConfigStream, r.Id, body)
+			confirmed = err == nil
+			appended = appended || !isRefused(err)
+		}
 		verdict, err := f.findVerdict(ctx, r.Id)
 		if err == nil && verdict != nil {
 			return resultOf(r.Id, verdict)
 		}
+		due = !confirmed && (err == nil || !appended)
 		select {
 		case <-ctx.Done():
 			return PublishResult{}, notFoundError(r.Id, appended)
@@ -98,6 +103,12 @@
 	}
 }
 
+// isRefused reports whether an append was refused and had no effect.
+func isRefused(err error) bool {
+	var e *logclient.Error
+	return errors.As(err, &e) && e.Kind == logclient.KindRefused
+}
+
 // notFoundError returns the error for a record that was not found in the log in time.
 func notFoundError(id string, appended bool) error {
 	if !appended {
--- a/internal/standin/logserver/journal.go
+++ b/internal/standin/logserver/journal.go
@@ -22,6 +22,7 @@
 // entry is a line of the journal: one record.
 type entry struct {
 	Stream string `json:"stream"`
+	ID     string `json:"id,omitempty"`
 	Body   []byte `json:"body"`
 }
 
--- a/internal/standin/logserver/logserver.go
+++ b/internal/standin/logserver/logserver.go
@@ -1,6 +1,7 @@
 // Package logserver implements a stand-in for the platform's append-only log service in tests.
 //
-// It serves HTTP: POST /streams/{stream}/records appends a record,
+// It serves HTTP: POST /streams/{stream}/records?id= appends a record, or answers with the offset of the retained record
+// that was appended with the same non-empty id,
 // GET /streams/{stream}/records?from=&max=&wait-ms= reads records, GET /streams/{stream} returns the first
 // retained and the next offset, POST /faults replaces the injected faults and GET /counts returns Counts.
 package logserver
@@ -52,7 +53,8 @@
 type Server struct {
 	mux *http.ServeMux
 
-	// appendMu is held while a record is added, so that journal and streams have the records in the same order.
+	// appendMu is held while a record is looked up by its id and added, so that no id is added twice, and journal and
+	// streams have the records in the same order.
 	appendMu sync.Mutex
 	journal  *journal
 
@@ -75,7 +77,7 @@
 	s.mux.HandleFunc("POST /faults", s.serveFaults)
 	s.mux.HandleFunc("GET /counts", s.serveCounts)
 	var err error
-	s.journal, err = openJournal(path, func(e entry) { s.stream(e.Stream).append(e.Body, 0) })
+	s.journal, err = openJournal(path, func(e entry) { s.stream(e.Stream).append(e.ID, e.Body, 0) })
 	return s, err
 }
 
@@ -126,13 +128,16 @@
 	f := s.currentFaults()
 	s.appendMu.Lock()
 	defer s.appendMu.Unlock()
-	name := r.PathValue("stream")
-	if err := s.journal.write(entry{Stream: name, Body: body}); err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+	name, id := r.PathValue("stream"), r.URL.Query().Get("id")
+	offset, repeated := s.stream(name).find(id)
+	if !repeated {
+		if err := s.journal.write(entry{Stream: name, ID: id, Body: body}); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		offset = s.stream(name).append(id, body, f.Retain)
+		s.updateCounts(func(c *Counts) { c.Appends++ })
 	}
-	offset := s.stream(name).append(body, f.Retain)
-	s.updateCounts(func(c *Counts) { c.Appends++ })
 	if f.LoseAnswers {
 		http.Error(w, "record appended, but the answer is lost (injected fault)", http.StatusInternalServerError)
 		return
