Requester: the end of one request's connection no longer ends another's

The requester closes a connection on another goroutine, and the next request can get its descriptor while the loop still holds an event of the closed one: the new request then fails at once with EOF. Requests to the log and to nodes failed in this way.

Ruled out: the server's side.

Change: the requester uses net/http's client, one connection a request as before, no redirects, the same limits of time and size. It needs no engine any more. The engines of servers stay.

A command's engine could fail to start before; newOperator returns no error any more.

--- a/internal/app/commands.go
+++ b/internal/app/commands.go
@@ -25,18 +25,14 @@
 }
 
 // newOperator returns an operator and a context that ends at the command's time limit. The caller must cancel it.
-func (m meshFlags) newOperator() (*operator.Operator, context.Context, context.CancelFunc, error) {
-	engine, err := requester.NewEngine(nil)
-	if err != nil {
-		return nil, nil, nil, err
-	}
+func (m meshFlags) newOperator() (*operator.Operator, context.Context, context.CancelFunc) {
 	author := os.Getenv("USER")
 	if author == "" {
 		author = "operator"
 	}
-	o := operator.New(operator.Config{Nodes: m.Nodes, LogURL: m.LogURL, Requester: requester.New(engine), Author: author})
+	o := operator.New(operator.Config{Nodes: m.Nodes, LogURL: m.LogURL, Requester: requester.New(), Author: author})
 	ctx, cancel := context.WithTimeout(context.Background(), m.Timeout)
-	return o, ctx, cancel, nil
+	return o, ctx, cancel
 }
 
 // Check is the check command.
@@ -72,10 +68,7 @@
 	if err != nil {
 		return err
 	}
-	o, ctx, cancel, err := c.newOperator()
-	if err != nil {
-		return err
-	}
+	o, ctx, cancel := c.newOperator()
 	defer cancel()
 	accepted, err := c.publish(ctx, o, declarations)
 	if err != nil {
@@ -108,10 +101,7 @@
 
 // Run prints the status of all reachable nodes and names the others.
 func (c *Status) Run(w io.Writer) error {
-	o, ctx, cancel, err := c.newOperator()
-	if err != nil {
-		return err
-	}
+	o, ctx, cancel := c.newOperator()
 	defer cancel()
 	statuses, unreachable, err := o.Statuses(ctx)
 	if err != nil {
@@ -128,10 +118,7 @@
 
 // Run prints the state of the rollouts.
 func (c *Rollouts) Run(w io.Writer) error {
-	o, ctx, cancel, err := c.newOperator()
-	if err != nil {
-		return err
-	}
+	o, ctx, cancel := c.newOperator()
 	defer cancel()
 	statuses, _, err := o.Statuses(ctx)
 	if err != nil {
@@ -154,10 +141,7 @@
 
 // Run prints the presets.
 func (c *PresetShow) Run(w io.Writer) error {
-	o, ctx, cancel, err := c.newOperator()
-	if err != nil {
-		return err
-	}
+	o, ctx, cancel := c.newOperator()
 	defer cancel()
 	state, err := o.State(ctx)
 	if err != nil {
@@ -180,10 +164,7 @@
 
 // Run activates a preset.
 func (c *PresetUse) Run(w io.Writer) error {
-	o, ctx, cancel, err := c.newOperator()
-	if err != nil {
-		return err
-	}
+	o, ctx, cancel := c.newOperator()
 	defer cancel()
 	accepted, err := o.Publish(ctx, []*schema.Declaration{{Item: &schema.Declaration_ActivePreset{ActivePreset: c.Name}}})
 	if err != nil {
@@ -202,10 +183,7 @@
 
 // Run drains a node's upstream or puts it back into service.
 func (c *Drain) Run(w io.Writer) error {
-	o, ctx, cancel, err := c.newOperator()
-	if err != nil {
-		return err
-	}
+	o, ctx, cancel := c.newOperator()
 	defer cancel()
 	accepted, err := o.Drain(ctx, c.Target, !c.Undo)
 	if err != nil {
@@ -228,10 +206,7 @@
 
 // Run prints the events of all reachable nodes that match the flags.
 func (c *Timeline) Run(w io.Writer) error {
-	o, ctx, cancel, err := c.newOperator()
-	if err != nil {
-		return err
-	}
+	o, ctx, cancel := c.newOperator()
 	defer cancel()
 	events, err := o.Timeline(ctx)
 	if err != nil {
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -94,11 +94,10 @@
 	}
 	admin := adminserver.New(adminserver.Config{Common: p.common, Controller: p.controller.Load,
 		Refusals: p.forwarder.Stats().Refusals, Platform: p.dialect.handler})
-	engine, err := requester.NewEngine(admin, s.AdminListen, s.UpstreamListen, s.ReadyListen)
-	if err != nil {
+	if _, err := requester.NewEngine(admin, s.AdminListen, s.UpstreamListen, s.ReadyListen); err != nil {
 		return nil, err
 	}
-	k, err := controller.New(controller.Config{Common: p.common, Log: p.dialect.newLog(requester.New(engine)), Reduce: p.dialect.reduce,
+	k, err := controller.New(controller.Config{Common: p.common, Log: p.dialect.newLog(requester.New()), Reduce: p.dialect.reduce,
 		Self: self, Evidence: p.forwarder, Publish: p.publish})
 	if err != nil {
 		return nil, err
--- a/internal/logclient/configlog_test.go
+++ b/internal/logclient/configlog_test.go
@@ -44,21 +44,12 @@
 	}
 }
 
-// newRequester returns a requester that lasts until the test ends.
-func newRequester(t *testing.T) *requester.Requester {
-	t.Helper()
-	engine, err := requester.NewEngine(nil)
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(engine.Stop)
-	return requester.New(engine)
-}
-
 // newTestLog returns an empty log. The caller closes the listener.
-func newTestLog(t rapid.TB, r *requester.Requester) (l *testLog, listener *httptest.Server) {
+func newTestLog(t rapid.TB) (l *testLog, listener *httptest.Server) {
 	server, err := logserver.New("")
 	assert(t, err == nil, "error: %v", err)
 	listener = httptest.NewServer(server)
-	client := logclient.New(logclient.Config{URL: listener.URL, Requester: r, Timeout: requestTimeout})
+	client := logclient.New(logclient.Config{URL: listener.URL, Requester: requester.New(), Timeout: requestTimeout})
 	l = &testLog{server: server, log: logclient.NewConfigLog(client), states: []*reducer.State{reducer.NewState()}}
 	l.setFaults(t, logserver.Faults{Rate: appendsPerSecond})
 	return l, listener
@@ -136,7 +127,7 @@
 
 // TestNewestReadsAllRecords checks the newest state of a log without checkpoints that is longer than a page.
 func TestNewestReadsAllRecords(t *testing.T) {
-	l, listener := newTestLog(t, newRequester(t))
+	l, listener := newTestLog(t)
 	defer listener.Close()
 	l.assertNewest(t)
 	for range 600 {
@@ -148,7 +139,7 @@
 // TestNewestStartsFromCheckpoint checks the newest state of a log that retains a checkpoint and what follows its state's
 // position, and then one record less.
 func TestNewestStartsFromCheckpoint(t *testing.T) {
-	l, listener := newTestLog(t, newRequester(t))
+	l, listener := newTestLog(t)
 	defer listener.Close()
 	for range 20 {
 		l.appendDrain(t)
@@ -167,7 +158,7 @@
 // TestNewestSkipsUnusableCheckpoints checks that checkpoints with an invalid state, or with one of a later position than
 // the checkpoint's own, are skipped.
 func TestNewestSkipsUnusableCheckpoints(t *testing.T) {
-	l, listener := newTestLog(t, newRequester(t))
+	l, listener := newTestLog(t)
 	defer listener.Close()
 	for range 20 {
 		l.appendDrain(t)
@@ -186,7 +177,7 @@
 
 // TestRecoverReturnsNewestCheckpoint checks that Recover returns the newest usable checkpoint beyond a position.
 func TestRecoverReturnsNewestCheckpoint(t *testing.T) {
-	l, listener := newTestLog(t, newRequester(t))
+	l, listener := newTestLog(t)
 	defer listener.Close()
 	for range 600 {
 		l.appendDrain(t)
@@ -207,9 +198,8 @@
 // TestNewestOfRandomLogs checks that Newest returns the state that results from all records, whichever of them are
 // retained, void or checkpoints, and no state exactly if the retained records do not determine it.
 func TestNewestOfRandomLogs(t *testing.T) {
-	r := newRequester(t)
 	rapid.Check(t, func(t *rapid.T) {
-		l, listener := newTestLog(t, r)
+		l, listener := newTestLog(t)
 		defer listener.Close()
 		// checkpoints holds the positions of the checkpoints' states.
 		var checkpoints []int
--- a/internal/operator/publish_test.go
+++ b/internal/operator/publish_test.go
@@ -131,10 +131,7 @@
 // TestRecordIsAppendedOnce checks that a command whose requests to the log fail in various ways leaves one record in the
 // log, so that the next command gets the next version.
 func TestRecordIsAppendedOnce(t *testing.T) {
-	engine, err := requester.NewEngine(nil)
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(engine.Stop)
-	r := requester.New(engine)
+	r := requester.New()
 	node := httptest.NewServer(http.HandlerFunc(serveInitialState))
 	t.Cleanup(node.Close)
 
@@ -149,6 +146,7 @@
 		"in effect right after the next":  {appendFaults: []fault{afterNextAppend}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			var err error
 			l.server, err = logserver.New("")
 			qt.Assert(t, err, qt.IsNil)
 			listener := httptest.NewServer(l)
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -1,4 +1,5 @@
-// Package requester sends short HTTP requests through nbhttp's client and reads the whole response.
+// Package requester sends short HTTP requests and reads the whole response. It also starts the engines that serve such
+// requests.
 package requester
 
 import (
@@ -6,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -20,6 +20,9 @@
 	// clientTimeout bounds every request. The context of a request may set a shorter timeout.
 	clientTimeout   = 15 * time.Second
 	handlerPoolSize = 64
+	// maxResponseBytes bounds the body of a response, and maxRequestBytes what an engine buffers of a request.
+	maxResponseBytes = 32 << 20
+	maxRequestBytes  = 32 << 20
 )
 
 // Error reports a request without a complete response. The request may have taken effect.
@@ -41,21 +44,29 @@
 	Body   []byte
 }
 
-// Requester sends each request over a new connection, because nbhttp's pooled client loses connections
-// from its pool when peers restart. Its methods are safe for concurrent use.
+// Requester sends each request over a new connection, so that none is sent to a process that has ended in the meantime. It
+// follows no redirects. Its methods are safe for concurrent use.
+//
+// It does not use nbhttp's client, whose loop looks up connections by file descriptor: while a request's connection is
+// closed, an event of it that the loop has already fetched would end a new connection that got its descriptor.
 type Requester struct {
-	engine *nbhttp.Engine
+	client *http.Client
 }
 
-// New returns a Requester on a started engine.
-func New(engine *nbhttp.Engine) *Requester { return &Requester{engine: engine} }
+// New returns a Requester.
+func New() *Requester {
+	return &Requester{client: &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Timeout:       clientTimeout,
+	}}
+}
 
-// NewEngine starts an engine that serves a handler on each non-empty address. Without any address the engine serves
-// nothing and can still be used by a Requester.
+// NewEngine starts an engine that serves a handler on each non-empty address.
 func NewEngine(handler http.Handler, addresses ...string) (*nbhttp.Engine, error) {
 	logging.SetLevel(logging.LevelNone)
 	config := nbhttp.Config{Network: "tcp", NPoller: 1, Handler: handler, MessageHandlerPoolSize: handlerPoolSize,
-		ReadLimit: 32 << 20}
+		ReadLimit: maxRequestBytes}
 	config.Addrs = slices.DeleteFunc(addresses, func(a string) bool { return a == "" })
 	engine := nbhttp.NewEngine(config)
 	if err := engine.Start(); err != nil {
@@ -64,53 +75,35 @@
 	return engine, nil
 }
 
-// result is what Do receives from the engine's goroutine.
-type result struct {
-	response Response
-	err      error
-}
-
 // Do sends a request and waits for the whole response or the end of the context. Errors are of type *Error.
 func (r *Requester) Do(ctx context.Context, method, url string, body []byte) (Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return Response{}, &Error{Operation: method + " " + url, Kind: "request", Cause: err}
 	}
-	request.Close = true
-	done := make(chan result, 1)
-	connection := &nbhttp.ClientConn{Engine: r.engine, Timeout: clientTimeout}
-	defer closeAsync(r.engine, connection)
-	r.engine.ExecuteClient(func() {
-		connection.Do(request, func(response *http.Response, _ net.Conn, err error) {
-			done <- readResponse(response, err)
-		})
-	})
-	select {
-	case <-ctx.Done():
+	response, err := r.do(request)
+	switch {
+	case err == nil:
+		return response, nil
+	case ctx.Err() != nil:
 		return Response{}, &Error{Operation: method + " " + url, Kind: "timeout", Cause: ctx.Err()}
-	case d := <-done:
-		if d.err != nil {
-			return Response{}, &Error{Operation: method + " " + url, Kind: "connection", Cause: d.err}
-		}
-		return d.response, nil
 	}
+	return Response{}, &Error{Operation: method + " " + url, Kind: "connection", Cause: err}
 }
 
-// closeAsync closes a connection on another goroutine, because Close blocks while a dial holds the connection's lock.
-func closeAsync(engine *nbhttp.Engine, c *nbhttp.ClientConn) {
-	engine.ExecuteClient(c.Close)
-}
-
-// readResponse reads the whole body of a response.
-func readResponse(response *http.Response, err error) result {
+// do sends a request and reads the whole body of its response.
+func (r *Requester) do(request *http.Request) (Response, error) {
+	response, err := r.client.Do(request)
 	if err != nil {
-		return result{err: err}
-	}
-	if response.Body == nil {
-		// nbhttp leaves Body nil for an empty chunked body.
-		return result{response: Response{Status: response.StatusCode}}
+		return Response{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return result{response: Response{Status: response.StatusCode, Body: body}, err: err}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err != nil {
+		return Response{}, err
+	}
+	if len(body) > maxResponseBytes {
+		return Response{}, fmt.Errorf("response larger than %d bytes", maxResponseBytes)
+	}
+	return Response{Status: response.StatusCode, Body: body}, nil
 }
--- a/internal/standin/harness/mesh.go
+++ b/internal/standin/harness/mesh.go
@@ -89,16 +89,12 @@
 // returns both the Mesh, which the caller stops, and an error. A violated invariant ends a node's process.
 func Start(c Config) (*Mesh, error) {
 	_ = os.Setenv(checker.FatalEnvVar, "1")
-	engine, err := requester.NewEngine(nil)
-	if err != nil {
-		return nil, err
-	}
 	const portsPerVM = 7
 	addresses, err := allocateAddresses(1 + portsPerVM*len(c.Specs))
 	if err != nil {
 		return nil, err
 	}
-	m := &Mesh{config: c, LogURL: "http://" + addresses[0], Requester: requester.New(engine),
+	m := &Mesh{config: c, LogURL: "http://" + addresses[0], Requester: requester.New(),
 		LedgerPath: filepath.Join(c.Dir, "ledger")}
 	m.Log, err = start(c.Dir, "log", c.Standin, "log", "--listen="+addresses[0],
 		"--file="+filepath.Join(c.Dir, "records"))
--- a/internal/standin/standinapp/standinapp.go
+++ b/internal/standin/standinapp/standinapp.go
@@ -100,12 +100,8 @@
 
 // Run serves until SIGTERM or SIGINT, then drains.
 func (c *upstreamCommand) Run() error {
-	client, err := requester.NewEngine(nil)
-	if err != nil {
-		return err
-	}
 	u, err := upstream.New(upstream.Config{Name: c.Name, Service: c.Service, Version: c.Version, Listen: c.Listen, Node: c.Node,
-		Slots: c.Slots, Connections: c.Connections, ColdStart: c.ColdStart, Ledger: c.Ledger, Requester: requester.New(client),
+		Slots: c.Slots, Connections: c.Connections, ColdStart: c.ColdStart, Ledger: c.Ledger, Requester: requester.New(),
 		Behaviour: upstream.Behaviour{LatencyMs: float64(c.Latency) / float64(time.Millisecond), FailRate: c.FailRate,
 			SlowFactor: c.SlowFactor, OnPrefix: c.OnPrefix, AfterMs: c.After.Milliseconds(), AboveInFlight: c.AboveInFlight}})
 	if err != nil {
