Controller: a read counts as one of the log only once it reached the log's end

Cause: found while reading for the fault of restarting meshes. The reader noted a fresh read of the log after each, and announced it with its position of that moment. A starting neighbour at the same position could then become ready with an older configuration than the log's newest.

Change: the reader notes a read only when its position has reached the end offset that the page tells. After a recovery the next read does.

--- a/internal/controller/fakelog_test.go
+++ b/internal/controller/fakelog_test.go
@@ -77,6 +77,8 @@
 	store           *fakeStore
 	unreachable     atomic.Bool
 	refusesProgress atomic.Bool
+	// singleRecords, while set, has Read return one record at a time, each once it can be received from the channel.
+	singleRecords atomic.Pointer[chan struct{}]
 }
 
 var errUnreachable = errors.New("the store does not answer")
@@ -127,7 +129,7 @@
 	end := time.Now().Add(wait)
 	for ; time.Now().Before(end) && ctx.Err() == nil && !l.unreachable.Load(); time.Sleep(2 * time.Millisecond) {
 		if p := l.store.from(from); len(p.Records) > 0 {
-			return p, nil
+			return l.limit(ctx, from, p)
 		}
 	}
 	if l.unreachable.Load() {
@@ -137,6 +139,22 @@
 	return l.store.from(from), ctx.Err()
 }
 
+// limit returns the page that was read from an offset or, while singleRecords is set, waits and returns one record.
+func (l *fakeLog) limit(ctx context.Context, from uint64, p LogPage) (LogPage, error) {
+	allowed := l.singleRecords.Load()
+	if allowed == nil {
+		return p, nil
+	}
+	select {
+	case <-*allowed:
+	case <-ctx.Done():
+		return LogPage{}, ctx.Err()
+	}
+	p = l.store.from(from)
+	p.Records = p.Records[:1]
+	return p, nil
+}
+
 func (l *fakeLog) Recover(ctx context.Context, _ uint64, _ LogPage) (*schema.State, error) {
 	newest, err := l.Newest(ctx)
 	return newest.State, err
--- a/internal/controller/join_test.go
+++ b/internal/controller/join_test.go
@@ -100,3 +100,28 @@
 	})
 	qt.Assert(t, queued, qt.Equals, 1)
 }
+
+// TestPartialReadOfLogIsNotFresh has a reader lag by three records, which it then reads one by one. It must count as having
+// read the log only with the last of them: neighbours that start take its position for the newest if it has.
+func TestPartialReadOfLogIsNotFresh(t *testing.T) {
+	t.Parallel()
+	const records = 3
+	m := &testMesh{store: &fakeStore{seeds: map[string]*schema.Member{}}}
+	n := startMeshNode(t, m.store, "n", "a")
+	m.nodes = append(m.nodes, n)
+	await(t, 10*time.Second, "the node reads the log", func() bool { return n.Status().Ready && isReading(n) })
+	allowed := make(chan struct{})
+	n.log.singleRecords.Store(&allowed)
+	for i := range records {
+		m.publish(uint32(i + 1))
+	}
+	var lagsSince time.Time
+	n.do(func() { lagsSince = time.Now() })
+	for position := uint64(1); position <= records; position++ {
+		allowed <- struct{}{}
+		m.awaitPosition(t, m.nodes, position)
+		var readAt time.Time
+		n.do(func() { readAt = n.freshness.readAt })
+		qt.Assert(t, readAt.After(lagsSince), qt.Equals, position == records, qt.Commentf("position %d", position))
+	}
+}
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -103,7 +103,10 @@
 	k.do(func() {
 		k.start.observeLog(page.Next)
 		k.applyRecords(page.Records, nil)
-		k.observeLogRead(time.Now())
+		// A page may end before the log does, and then a neighbour must not take this position for the newest.
+		if k.state.Position >= page.Next {
+			k.observeLogRead(time.Now())
+		}
 	})
 	return nil
 }
@@ -121,7 +124,8 @@
 	r.controller.common.Logger.Info("reading from the log again")
 }
 
-// recover installs the newest state that the log retains, after the records from position on have expired.
+// recover installs the newest state that the log retains, after the records from position on have expired. The records that
+// follow it are read next.
 func (r *logReader) recover(page LogPage, position uint64) error {
 	k := r.controller
 	state, err := k.config.Log.Recover(r.ctx, position, page)
@@ -132,7 +136,6 @@
 	}
 	k.do(func() {
 		k.installStateSnapshot(&schema.Snapshot{State: state}, time.Now())
-		k.observeLogRead(time.Now())
 	})
 	return nil
 }
