--- a/internal/forwarder/oncetoupstream_test.go
+++ b/internal/forwarder/oncetoupstream_test.go
@@ -49,6 +49,8 @@
 	for i := range otherCalls {
 		qt.Assert(t, do("GET", entry.url("/get"), "", "X-Id", fmt.Sprintf("warm-%d", i)).status, qt.Equals, 200)
 	}
+	// The upstreams' connections may be reused then.
+	time.Sleep(idleTime)
 	answered := make(chan reply)
 	go func() { answered <- do("GET", entry.url("/get"), "", "X-Id", silentID, "X-Time-Left", "2000") }()
 	for i := range otherCalls {
