--- a/internal/forwarder/callerlimits_test.go
+++ b/internal/forwarder/callerlimits_test.go
@@ -51,7 +51,7 @@
 			defer func() { _ = response.Body.Close() }()
 			qt.Assert(t, response.StatusCode, qt.Equals, test.want)
 			qt.Assert(t, response.Header.Get("Tamarackpitch-Run"), qt.Equals, "no")
-			qt.Assert(t, u.runs.Load(), qt.Equals, int64(0))
+			qt.Assert(t, u.runs.Load(), qt.Equals, int64(0), qt.Commentf("calls at %s:\n%s", u.address, u.describeCalls()))
 		})
 	}
 }
--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -143,10 +143,35 @@
 	}))
 }
 
+// maxDescribedCalls is the number of calls of which an upstreamServer keeps a description.
+const maxDescribedCalls = 16
+
 // upstreamServer is an HTTP server that counts the calls it runs.
 type upstreamServer struct {
 	address string
 	runs    atomic.Int64
+
+	// mu guards calls, which describes the first maxDescribedCalls calls that ran.
+	mu    sync.Mutex
+	calls []string
+}
+
+// describeCalls returns a description of the first calls that ran.
+func (u *upstreamServer) describeCalls() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return strings.Join(u.calls, "\n")
+}
+
+// record counts a call and adds its description.
+func (u *upstreamServer) record(r *http.Request) {
+	u.runs.Add(1)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.calls) == maxDescribedCalls {
+		return
+	}
+	u.calls = append(u.calls, fmt.Sprintf("%v %s %s from %s: %v", time.Now(), r.Method, r.URL, r.RemoteAddr, r.Header))
 }
 
 func newUpstream(t *testing.T, handler http.HandlerFunc) *upstreamServer {
@@ -156,7 +181,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	u.address = l.Addr().String()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		u.runs.Add(1)
+		u.record(r)
 		handler(w, r)
 	})}
 	go func() { _ = server.Serve(l) }()
