Forwarder: a slot that comes free too late is given to no call

Cause: calls that end with a leaving node share one deadline. Where the upstream's service time is not known yet, a call that runs and one that waits for its slot end at the same moment. If the first one's timer was earlier, its slot came free and the second, non-idempotent call was passed on, to be broken off at once: 504, may have run.

Change: a call whose latest start has passed is refused (waited-in-vain) when a slot comes free.

--- a/internal/forwarder/exchangetimer.go
+++ b/internal/forwarder/exchangetimer.go
@@ -60,7 +60,7 @@
 	case !x.headSent && !now.Before(x.deadline):
 		x.timeOut()
 	case x.queued && !now.Before(x.latestStart()):
-		x.retryNotRun("waited-in-vain")
+		x.retryNotRun(reasonWaitedInVain)
 	case !x.headSent:
 		x.checkSilence(now)
 	}
--- a/internal/forwarder/local.go
+++ b/internal/forwarder/local.go
@@ -115,6 +115,8 @@
 	reasonBusy = "busy"
 	// reasonQueueFull means that the queue is full or that the call would wait too long.
 	reasonQueueFull = "queue-full"
+	// reasonWaitedInVain means that the call did not get a slot in time.
+	reasonWaitedInVain = "waited-in-vain"
 	// reasonRateLimited means that the upstream's rate limit would keep the call waiting too long.
 	reasonRateLimited = "rate-limited"
 )
@@ -180,6 +182,12 @@
 			x.retryNotRun("leaving")
 			continue
 		}
+		if !now.Before(x.latestStart()) {
+			// The slot may be free because its call has ended at the same time, by the same deadline.
+			f.admitter.Release()
+			x.retryNotRun(reasonWaitedInVain)
+			continue
+		}
 		x.sendLocal()
 	}
 }
