Controller: a new rollout ignores the progress of the earlier one of its service

Cause: progress is kept by the rollout's name until a periodic check drops it. Change: progress of another declared version is dropped with the state that brings the new order.

--- a/internal/controller/controlledrollout_test.go
+++ b/internal/controller/controlledrollout_test.go
@@ -188,3 +188,31 @@
 	await(t, rollbackBound, "the outcome is saved", func() bool { return isDecided(m.store.lastProgress()) })
 	qt.Assert(t, m.store.lastProgress().Completed, qt.IsTrue)
 }
+
+// TestNewRolloutIgnoresProgressOfEarlierOne orders a rollout of a service whose earlier rollout was rolled back long ago: a
+// node that takes control at once must count the duration from the new order, and start on the first step.
+func TestNewRolloutIgnoresProgressOfEarlierOne(t *testing.T) {
+	const rolloutDuration = 15 * time.Second
+	m := startRolloutMesh(t, rolloutDuration, 0, nil)
+	n := m.nodes[0]
+	first := m.share()
+	var timeLeft time.Duration
+	var share float64
+	n.do(func() {
+		now := time.Now()
+		r := n.state.Rollouts["s"]
+		n.progress["s"] = &schema.Progress{Rollout: "s", DeclaredVersion: r.DeclaredVersion, Step: 2, RolledBack: true,
+			Reported: true, HeardUnixMs: now.Add(-time.Minute).UnixMilli()}
+		encoded := n.state.Encode()
+		encoded.Position++
+		encoded.Version++
+		encoded.Rollouts[0].DeclaredVersion++
+		next, err := reducer.DecodeState(encoded)
+		qt.Check(t, err, qt.IsNil)
+		n.setState(next)
+		share = n.share(next.Rollouts["s"])
+		timeLeft = n.takeControl(next.Rollouts["s"], 0, now).analysis.Deadline().Sub(now)
+	})
+	qt.Check(t, share, qt.Equals, first)
+	qt.Check(t, timeLeft > rolloutDuration-time.Second, qt.IsTrue, qt.Commentf("time left %v", timeLeft))
+}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -80,6 +80,7 @@
 	k.state = next
 	k.changes.Note(before, next)
 	k.recordFirstSeen(time.Now())
+	k.dropSupersededProgress()
 	if next.Version == before.Version && len(next.Rollouts) == len(before.Rollouts) && !next.HasOpenVersions() {
 		return
 	}
--- a/internal/controller/rolloutprogress.go
+++ b/internal/controller/rolloutprogress.go
@@ -47,6 +47,14 @@
 	maps.DeleteFunc(k.firstSeen, func(version uint64, _ time.Time) bool { return !known[version] })
 }
 
+// dropSupersededProgress removes the progress of rollouts that no longer exist or were ordered again: the start, the step
+// and the outcome of an earlier order say nothing about the new one.
+func (k *Controller) dropSupersededProgress() {
+	maps.DeleteFunc(k.progress, func(name string, p *schema.Progress) bool {
+		return k.state.Rollouts[name].GetDeclaredVersion() != p.DeclaredVersion
+	})
+}
+
 // deadline returns when all traffic of a rollout must have moved, by this node's clock.
 func (k *Controller) deadline(r *schema.Rollout, now time.Time) time.Time {
 	if !savesProgress(r) {
