Roller: few calls that failed hold a rollout on its step

Cause: the recent failure rate held a rollout only from three calls on, and where calls that the upstreams depend on are refused, single failures hardly count in the comparison. Change: below the last step a rollout is held while the new version's recent calls on a route are more likely for a version that fails half of them than for one like the old version.

--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -27,6 +27,9 @@
 	// holdFailureRate is the failure rate of either version on a route above which the rollout is held: the service is
 	// disturbed, and the difference between the versions is too small to be found before a bad one has got too much.
 	holdFailureRate = 0.25
+	// holdHeavyFailures is the log-likelihood ratio of heavyFailures for the new version's recent calls on a route from
+	// which the rollout is held.
+	holdHeavyFailures = 1
 )
 
 // A call is slow if its latency is more than twice the old version's slowQuantile. Routes with fewer than
@@ -158,7 +161,7 @@
 	r.newFailures += failed
 	r.recent.add(e)
 	calls := float64(e.Calls)
-	oldRate := r.baseline.failureRate(e, service, failures.floor)
+	oldRate := r.baseline.failureRate(calls, float64(e.StarvedCalls), service, failures.floor)
 	r.failureScore.add(failures, float64(failed), calls, oldRate)
 	r.grossFailureScore.add(grossFailures, float64(failed), calls, oldRate)
 	oldRate = r.baseline.rate(rejectionEvents, service, rejections.floor)
@@ -213,9 +216,13 @@
 	return highest
 }
 
-// failsTooOften reports whether the recent failure rate of either version on a route is above holdFailureRate.
+// failsTooOften reports whether the recent failure rate of either version on a route is above holdFailureRate, or that of
+// the new version may be, as far as its few recent calls show.
 func (a *Analysis) failsTooOften() bool {
 	for _, r := range a.routes {
+		if r.mayFailHeavily(&a.service) {
+			return true
+		}
 		if r.recent.failsTooOften() || !r.baseline.frozen && r.baseline.shortTerm.failsTooOften() {
 			return true
 		}
@@ -223,6 +230,17 @@
 	return false
 }
 
+// mayFailHeavily reports whether the new version's recent calls are more likely for a version that fails heavily than for
+// one like the old version. The comparison ends when the old version receives no more traffic.
+func (r *routeComparison) mayFailHeavily(service *baseline) bool {
+	c := &r.recent
+	if c.failures == 0 || r.baseline.frozen {
+		return false
+	}
+	oldRate := r.baseline.failureRate(c.calls, c.starvedCalls, service, heavyFailures.floor)
+	return heavyFailures.logLikelihoodRatio(c.failures, c.calls, oldRate) >= holdHeavyFailures
+}
+
 func (c *counts) failsTooOften() bool {
 	return c.calls >= minHoldCalls && c.failures > holdFailureRate*c.calls
 }
--- a/internal/roller/analysis_test.go
+++ b/internal/roller/analysis_test.go
@@ -229,3 +229,45 @@
 		})
 	}
 }
+
+// TestFewFailingCallsHoldRollout lets the new version get only a few calls on one route before the first step ends: if too
+// many of them failed for a version like the old one, the rollout stays on its step. Calls that the upstreams may depend on
+// are refused all the time, so that the comparison alone takes more calls.
+func TestFewFailingCallsHoldRollout(t *testing.T) {
+	const callsAt = 6 * time.Second
+	tests := []struct {
+		name            string
+		calls, failures uint64
+		wantHeld        bool
+	}{
+		{"one of one fails", 1, 1, true},
+		{"one of two fails", 2, 1, true},
+		{"two of three fail", 3, 2, true},
+		{"none of three fails", 3, 0, false},
+		{"one of ten fails", 10, 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Now()
+			analysis := roller.New(roller.Config{Preset: reducer.DefaultPreset([]string{"0"}), Now: start, Deadline: start.Add(duration),
+				Rollout: &schema.Rollout{Name: "s", Service: "s", To: "v2", DurationMs: uint32(duration.Milliseconds())}})
+			d := roller.Decision{}
+			for elapsed := time.Duration(0); elapsed <= callsAt+2*time.Second; elapsed += tick {
+				now := start.Add(elapsed)
+				evidence := []*schema.Evidence{
+					{Route: "busy", Version: "v1", Calls: 1}, {Route: "busy", Version: "v2", Calls: 1},
+					{Route: "rare", Version: "v1", Calls: 2}}
+				if elapsed == callsAt {
+					evidence = append(evidence, &schema.Evidence{Route: "rare", Version: "v2", Calls: test.calls, Failures: test.failures})
+				}
+				for _, e := range evidence {
+					e.StarvedCalls, e.StarvedFailures = e.Calls, e.Failures
+				}
+				analysis.Observe(evidence, now)
+				d = analysis.Decide(now, d.Step)
+				qt.Assert(t, d.RolledBack, qt.IsFalse, qt.Commentf("after %v: %s", elapsed, d.Reason))
+			}
+			qt.Assert(t, d.Step == 0, qt.Equals, test.wantHeld)
+		})
+	}
+}
--- a/internal/roller/baseline.go
+++ b/internal/roller/baseline.go
@@ -111,14 +111,14 @@
 	return max(longTerm, serviceShortTerm, routeShortTerm)
 }
 
-// failureRate estimates the failure rate of the old version, weighted by the starved fraction of e's calls: the nodes
-// of the two versions may differ in how often they refuse calls that their upstreams depend on.
-func (b *baseline) failureRate(e *schema.Evidence, service *baseline, floor float64) float64 {
+// failureRate estimates the failure rate of the old version for calls to the new one, weighted by the starved fraction of
+// those: the nodes of the two versions may differ in how often they refuse calls that their upstreams depend on.
+func (b *baseline) failureRate(calls, starvedCalls float64, service *baseline, floor float64) float64 {
 	unstarved := b.rate(unstarvedFailureEvents, service, floor)
-	if e.Calls == 0 || e.StarvedCalls == 0 {
+	if calls == 0 || starvedCalls == 0 {
 		return unstarved
 	}
 	starved := b.rate(starvedFailureEvents, service, max(floor, starvedFailureFloor))
-	fraction := min(float64(e.StarvedCalls)/float64(e.Calls), 1)
+	fraction := min(starvedCalls/calls, 1)
 	return unstarved*(1-fraction) + max(unstarved, starved)*fraction
 }
--- a/internal/roller/metric.go
+++ b/internal/roller/metric.go
@@ -23,6 +23,10 @@
 	slowness      = metric{name: "slow-rate", floor: 0.02, badRate: 0.15, badRatio: 3}
 )
 
+// heavyFailures tells a version that fails about half of its calls from a good one. It needs only a few calls for that, so
+// it holds a rollout that has too few of them for a rollback.
+var heavyFailures = metric{name: "failure-rate", floor: 0.01, badRate: 0.5, badRatio: 4}
+
 const (
 	// marginFactor scales the margin of metrics whose events are frequent in the old version.
 	marginFactor = 1.5
@@ -41,6 +45,13 @@
 	return good, bad
 }
 
+// logLikelihoodRatio returns the logarithm of how much more likely a batch of calls, of which events had the event, is for
+// a bad version than for a good one. oldRate is the rate of the old version.
+func (m metric) logLikelihoodRatio(events, calls, oldRate float64) float64 {
+	good, bad := m.rates(oldRate)
+	return events*math.Log(bad/good) + max(calls-events, 0)*math.Log((1-bad)/(1-good))
+}
+
 // cusum is a one-sided cumulative sum of log-likelihood ratios. It does not fall below zero, so that a version that
 // turns bad late is detected as fast as one that is bad from the start.
 type cusum struct {
@@ -58,9 +69,7 @@
 	if calls <= 0 {
 		return
 	}
-	good, bad := m.rates(oldRate)
+	good, _ := m.rates(oldRate)
 	c.margin = min(marginFactor*math.Log(good/m.floor), maxMargin)
-	others := max(calls-events, 0)
-	c.score += events*math.Log(bad/good) + others*math.Log((1-bad)/(1-good))
-	c.score = max(c.score, 0)
+	c.score = max(c.score+m.logLikelihoodRatio(events, calls, oldRate), 0)
 }
