Rollouts: a held version is paused after a bounded number of failures

Change: after 20 failures on a held step below the last, the rollout is paused: the new version gets no calls. Once the old version has failed at most a quarter of its calls for a second, the rollout is resumed, with the old version's recent behaviour as the baseline; each earlier pause halves the 20. Result: TestBadVersionIsPausedWhileOldFails (150 failures without the pause, 36 with it), TestGoodVersionIsResumed and TestPausedRolloutMovesNoTraffic failed without the pause and pass.

--- a/internal/controller/controlledrollout.go
+++ b/internal/controller/controlledrollout.go
@@ -32,8 +32,9 @@
 	fenced bool
 	// readingProgress is set while a fenced controller reads who has fenced it.
 	readingProgress bool
-	// pendingStep is the step whose write is in progress, or 0.
+	// pendingStep is the step whose write is in progress, or 0. resuming is set while the write of a resumption is.
 	pendingStep uint32
+	resuming    bool
 	// completionReason is set once the completion has been written without a known result. Since the operator may have
 	// acted on it, only the completion is written from then on.
 	completionReason string
@@ -82,7 +83,7 @@
 func (k *Controller) beginEpoch(c *controlledRollout, known uint64, now time.Time) {
 	r := c.analysis.Rollout()
 	node := k.table.Self().Node
-	c.epoch, c.writes, c.fenced, c.pendingStep = nextEpoch(known, node), 0, false, 0
+	c.epoch, c.writes, c.fenced, c.pendingStep, c.resuming = nextEpoch(known, node), 0, false, 0, false
 	k.mergeProgress(&schema.Progress{Rollout: r.Name, DeclaredVersion: r.DeclaredVersion, Epoch: c.epoch, Controller: node,
 		HeardUnixMs: now.Add(-k.rolloutAge(r, now)).UnixMilli()}, nil)
 }
@@ -120,7 +121,8 @@
 	r := c.analysis.Rollout()
 	k.common.Logger.Info("advancing rollout", "rollout", r.Name, "step", step, "reporting-nodes", len(c.heardAt),
 		"evidence", c.analysis.Summary())
-	p := &schema.Progress{Rollout: r.Name, DeclaredVersion: r.DeclaredVersion, Step: step}
+	p := &schema.Progress{Rollout: r.Name, DeclaredVersion: r.DeclaredVersion, Step: step,
+		Pauses: k.progress[r.Name].GetPauses()}
 	if !savesProgress(r) {
 		k.mergeProgress(p, nil)
 		return
@@ -130,6 +132,26 @@
 	k.saveProgress(c, p, func() { k.mergeProgress(p, nil) })
 }
 
+// setPauses pauses or resumes a rollout. A pause takes effect at once, since it takes calls from the new version only; where
+// progress is saved, a resumption takes effect once it is saved, as a step does.
+func (k *Controller) setPauses(c *controlledRollout, pauses uint32) {
+	r := c.analysis.Rollout()
+	k.common.Logger.Info("changing whether rollout is paused", "rollout", r.Name, "paused", roller.IsPaused(pauses),
+		"evidence", c.analysis.Summary())
+	p := &schema.Progress{Rollout: r.Name, DeclaredVersion: r.DeclaredVersion, Step: k.step(r), Pauses: pauses}
+	if roller.IsPaused(pauses) || !savesProgress(r) {
+		k.mergeProgress(p, nil)
+	}
+	if !savesProgress(r) {
+		return
+	}
+	// The step is that of the write before this one, so that the saved progress doesn't go back.
+	saved := proto.CloneOf(p)
+	saved.Step, saved.HeardUnixMs = max(p.Step, c.pendingStep), k.progress[r.Name].GetHeardUnixMs()
+	c.resuming = !roller.IsPaused(pauses)
+	k.saveProgress(c, saved, func() { k.mergeProgress(p, nil) })
+}
+
 // saveProgress queues a write of the progress with the controller's epoch. onSaved, if not nil, is called on the control
 // goroutine after a successful write.
 func (k *Controller) saveProgress(c *controlledRollout, p *schema.Progress, onSaved func()) {
@@ -143,7 +165,7 @@
 		onResult: func(err error) { k.handleSaveResult(c, write, err, onSaved) }})
 	if !queued {
 		c.writes--
-		c.pendingStep = 0
+		c.pendingStep, c.resuming = 0, false
 	}
 }
 
@@ -160,7 +182,7 @@
 		}
 		return
 	}
-	c.pendingStep = 0
+	c.pendingStep, c.resuming = 0, false
 	switch {
 	case errors.Is(err, ErrFenced):
 		k.handleFenced(c, err)
--- a/internal/controller/controlledrollout_test.go
+++ b/internal/controller/controlledrollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,27 +23,35 @@
 type versionEvidence struct {
 	version         string
 	calls, failures uint64
+	// disturbed, if not nil, makes half of the calls fail while it is set.
+	disturbed *atomic.Bool
 }
 
 func (e versionEvidence) TakeEvidence() []*schema.Report {
+	failures := e.failures
+	if e.disturbed != nil && e.disturbed.Load() {
+		failures = e.calls / 2
+	}
 	return []*schema.Report{{Rollout: "s", DeclaredVersion: 1, Evidence: []*schema.Evidence{
-		{Route: "r", Version: e.version, Calls: e.calls, Failures: e.failures}}}}
+		{Route: "r", Version: e.version, Calls: e.calls, Failures: failures}}}}
 }
 
 // rolloutMesh is a mesh in which half of the nodes' upstreams run the new version of a rollout.
 type rolloutMesh struct {
 	*testMesh
+	// disturbed makes half of the calls to both versions fail.
+	disturbed *atomic.Bool
 }
 
 // startRolloutMesh starts a mesh whose rollout to v2 is ordered as soon as all nodes know each other. prepare, if not nil,
 // is called before that.
 func startRolloutMesh(t *testing.T, duration time.Duration, failures uint64, prepare func(*testMesh)) *rolloutMesh {
 	t.Helper()
-	m := &rolloutMesh{testMesh: &testMesh{store: &fakeStore{seeds: map[string]*schema.Member{}}}}
+	m := &rolloutMesh{testMesh: &testMesh{store: &fakeStore{seeds: map[string]*schema.Member{}}}, disturbed: &atomic.Bool{}}
 	for i := range rolloutNodes {
-		e := versionEvidence{version: "v1", calls: 20}
+		e := versionEvidence{version: "v1", calls: 20, disturbed: m.disturbed}
 		if i%2 == 1 {
-			e = versionEvidence{version: "v2", calls: 5, failures: failures}
+			e = versionEvidence{version: "v2", calls: 5, failures: failures, disturbed: m.disturbed}
 		}
 		n := startMeshNodeWith(t, m.store, fmt.Sprintf("n%d", i), "a", e)
 		_, err := n.Announce(Announcement{Service: "s", Version: e.version, Address: "127.0.0.1:1", Slots: 4})
@@ -216,3 +225,25 @@
 	qt.Check(t, share, qt.Equals, first)
 	qt.Check(t, timeLeft > rolloutDuration-time.Second, qt.IsTrue, qt.Commentf("time left %v", timeLeft))
 }
+
+// TestPausedRolloutMovesNoTraffic lets both versions fail half of their calls: the new version gets no more calls from any
+// node, also while the store is away, and gets them again once the old version has recovered and the resumption is saved.
+func TestPausedRolloutMovesNoTraffic(t *testing.T) {
+	m := startRolloutMesh(t, time.Minute, 0, nil)
+	first := m.share()
+	refuse := func(refused bool) {
+		for _, n := range m.nodes {
+			n.log.refusesProgress.Store(refused)
+		}
+	}
+	refuse(true)
+	m.disturbed.Store(true)
+	await(t, 10*time.Second, "the rollout is paused", func() bool { return m.share() == 0 })
+	m.disturbed.Store(false)
+	time.Sleep(6 * time.Second)
+	qt.Assert(t, m.share(), qt.Equals, 0.0)
+	refuse(false)
+	await(t, 10*time.Second, "the rollout is resumed", func() bool { return m.share() == first })
+	qt.Assert(t, m.store.lastProgress().Pauses, qt.Equals, uint32(2))
+	qt.Assert(t, m.store.lastProgress().RolledBack, qt.IsFalse)
+}
--- a/internal/controller/query.go
+++ b/internal/controller/query.go
@@ -41,7 +41,7 @@
 	From           string `json:"from"`
 	To             string `json:"to"`
 	DeadlineUnixMs int64  `json:"deadline-unix-ms"`
-	// Phase is open, watching, completed, rolling-back or rolled-back.
+	// Phase is open, paused, watching, completed, rolling-back or rolled-back.
 	Phase  string  `json:"phase"`
 	Share  float64 `json:"share"`
 	AtRisk bool    `json:"at-risk,omitempty"`
@@ -105,7 +105,11 @@
 	if c := k.controlled[r.Name]; c != nil {
 		s.AtRisk = c.atRisk
 	}
-	if s.Phase == "open" && int(k.step(r)) == roller.LastStep(k.state.Preset()) {
+	switch {
+	case s.Phase != "open":
+	case roller.IsPaused(k.progress[r.Name].GetPauses()):
+		s.Phase = "paused"
+	case int(k.step(r)) == roller.LastStep(k.state.Preset()):
 		s.Phase = "watching"
 	}
 	return s
--- a/internal/controller/rolloutprogress.go
+++ b/internal/controller/rolloutprogress.go
@@ -90,7 +90,7 @@
 }
 
 // mergedProgress merges two values: completed overrides rolled back, which overrides every step. The higher step, the
-// higher epoch with its controller, and the earlier start are kept. If two nodes have chosen the same epoch, the one whose
+// higher number of pauses, the higher epoch with its controller, and the earlier start are kept. If two nodes have chosen the same epoch, the one whose
 // name sorts last is kept, so that all nodes agree.
 func mergedProgress(old, p *schema.Progress) *schema.Progress {
 	merged := proto.CloneOf(p)
@@ -99,6 +99,7 @@
 		return merged
 	}
 	merged.Step = max(old.Step, p.Step)
+	merged.Pauses = max(old.Pauses, p.Pauses)
 	merged.Completed = old.Completed || p.Completed
 	merged.RolledBack = (old.RolledBack || p.RolledBack) && !merged.Completed
 	if old.Epoch > p.Epoch || old.Epoch == p.Epoch && old.Controller > p.Controller {
@@ -123,6 +124,13 @@
 	case p.RolledBack && !old.GetRolledBack():
 		k.common.Logger.Warn("rollout rolled back", "rollout", r.Name, "reason", p.Reason)
 		k.recordRolloutEvent(r, "rollout-rolling-back", map[string]string{"reason": p.Reason})
+	case p.Pauses > old.GetPauses():
+		event := "rollout-resumed"
+		if roller.IsPaused(p.Pauses) {
+			event = "rollout-paused"
+		}
+		k.common.Logger.Info(event, "rollout", r.Name)
+		k.recordRolloutEvent(r, event, nil)
 	case p.Step > old.GetStep():
 		share := strconv.FormatFloat(roller.ShareAt(k.state.Preset(), int(p.Step)), 'g', 3, 64)
 		k.common.Logger.Info("rollout step", "rollout", r.Name, "step", p.Step, "share", share)
--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -113,7 +113,8 @@
 		k.writeOutcome(c, r, false, p.Reason, now)
 		return
 	}
-	step := max(k.step(r), c.pendingStep)
+	step, pauses := max(k.step(r), c.pendingStep), p.GetPauses()
+	c.analysis.SetPauses(pauses, now)
 	d := c.analysis.Decide(now, int(step))
 	if d.AtRisk && !c.atRisk {
 		k.common.Logger.Warn("rollout at risk of missing its deadline", "rollout", r.Name)
@@ -125,6 +126,8 @@
 		k.mergeProgress(&schema.Progress{Rollout: r.Name, DeclaredVersion: r.DeclaredVersion,
 			Step: k.step(r), RolledBack: true, Reason: d.Reason}, nil)
 		k.writeOutcome(c, r, false, d.Reason, now)
+	case d.Pauses != pauses && !c.resuming:
+		k.setPauses(c, d.Pauses)
 	case c.pendingStep != 0 || !k.hearsNewVersion(c, now):
 		// The rollout stays on its step until the last one is saved, and while evidence may be missing.
 	case d.Completed:
--- a/internal/controller/snapshotcache.go
+++ b/internal/controller/snapshotcache.go
@@ -210,6 +210,8 @@
 		return 0
 	case p.Completed:
 		return 1
+	case roller.IsPaused(p.Pauses):
+		return 0
 	}
 	return roller.ShareAt(k.state.Preset(), int(p.Step))
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -49,7 +49,7 @@
 }
 
 // MergeRollouts merges the nodes' views of each rollout. The view of the newest configuration version is used, and of
-// several the one with the highest share. An open rollout is at risk if any node says so.
+// several the one with the highest share. An open or paused rollout is at risk if any node says so.
 func MergeRollouts(statuses []controller.Status) []controller.RolloutStatus {
 	merged := map[string]controller.RolloutStatus{}
 	versions := map[string]uint64{}
@@ -62,7 +62,7 @@
 				versions[r.Name] = s.Version
 			}
 			chosen := merged[r.Name]
-			chosen.AtRisk = atRisk && chosen.Phase == "open"
+			chosen.AtRisk = atRisk && (chosen.Phase == "open" || chosen.Phase == "paused")
 			merged[r.Name] = chosen
 		}
 	}
--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -62,7 +62,15 @@
 	// stepSince is when the step was reached; stepCalls counts calls to the new version since then.
 	stepSince time.Time
 	stepCalls uint64
-	decayedAt time.Time
+	// held is set while the rollout is held since a version fails too often; heldFailures counts the new version's failures
+	// in that time since the step was reached.
+	held         bool
+	heldFailures uint64
+	// pauses counts pauses and resumptions; see IsPaused. recoveredAt is since when the old version of a paused rollout has
+	// not failed too often, or zero.
+	pauses      uint32
+	recoveredAt time.Time
+	decayedAt   time.Time
 	// reason is why the rollout is rolled back, or empty.
 	reason string
 }
@@ -108,6 +116,9 @@
 		switch e.Version {
 		case a.config.Rollout.To:
 			a.stepCalls += e.Calls
+			if a.held {
+				a.heldFailures += e.Failures
+			}
 			a.pending = append(a.pending, pendingEvidence{at: now, evidence: e})
 		default:
 			a.service.add(e)
--- a/internal/roller/analysis_test.go
+++ b/internal/roller/analysis_test.go
@@ -29,8 +29,10 @@
 type result struct {
 	decision roller.Decision
 	after    time.Duration
-	// calls counts all calls until the end, newCalls those to the new version.
-	newCalls, calls float64
+	// calls counts all calls until the end, newCalls those to the new version, newFailures the failures among those.
+	newCalls, calls, newFailures float64
+	// pauses counts pauses and resumptions.
+	pauses uint32
 }
 
 func (s scenario) run() result {
@@ -45,20 +47,26 @@
 	for elapsed := time.Duration(0); elapsed <= duration; elapsed += tick {
 		now := start.Add(elapsed)
 		share := roller.ShareAt(preset, step)
+		if roller.IsPaused(r.pauses) {
+			share = 0
+		}
 		newCallsDue += s.callsPerTick * share
 		newCalls := float64(int(newCallsDue))
 		newCallsDue -= newCalls
 		r.newCalls += newCalls
 		r.calls += s.callsPerTick
+		newEvidence := s.evidence("v2", newCalls, s.newFailureRate(elapsed, share), elapsed)
+		r.newFailures += float64(newEvidence.Failures)
 		analysis.Observe([]*schema.Evidence{
-			s.evidence("v1", s.callsPerTick-newCalls, s.oldFailureRate(elapsed, share), elapsed),
-			s.evidence("v2", newCalls, s.newFailureRate(elapsed, share), elapsed)}, now)
+			s.evidence("v1", s.callsPerTick-newCalls, s.oldFailureRate(elapsed, share), elapsed), newEvidence}, now)
 		d := analysis.Decide(now, step)
 		if d.RolledBack || d.Completed {
 			r.decision, r.after = d, elapsed
 			return r
 		}
 		step = d.Step
+		r.pauses = d.Pauses
+		analysis.SetPauses(d.Pauses, now)
 	}
 	return r
 }
@@ -271,3 +279,34 @@
 		})
 	}
 }
+
+// disturbedUntil fails half of the calls until a time, then a fraction of them.
+func disturbedUntil(end time.Duration, rate float64) func(time.Duration, float64) float64 {
+	return func(elapsed time.Duration, _ float64) float64 {
+		if elapsed < end {
+			return 0.5
+		}
+		return rate
+	}
+}
+
+// TestBadVersionIsPausedWhileOldFails lets both versions fail half of their calls for half of the time, so that the comparison
+// can't tell them apart: the new version gets no more calls after a bounded number of failures, and is rolled back soon after
+// it is resumed.
+func TestBadVersionIsPausedWhileOldFails(t *testing.T) {
+	// maxFailures is the number of failures from which a bad version must be rolled back within a set time.
+	const maxFailures = 50
+	s := scenario{callsPerTick: 100, oldFailureRate: disturbedUntil(duration/2, 0.02), newFailureRate: constant(0.5)}
+	r := s.run()
+	qt.Assert(t, r.decision.RolledBack, qt.IsTrue, qt.Commentf("%+v", r))
+	qt.Assert(t, r.newFailures < maxFailures, qt.IsTrue, qt.Commentf("%+v", r))
+}
+
+// TestGoodVersionIsResumed lets both versions fail half of their calls for a while: the good version is paused and then
+// completed.
+func TestGoodVersionIsResumed(t *testing.T) {
+	disturbed := disturbedUntil(duration/3, 0.02)
+	r := scenario{callsPerTick: 100, oldFailureRate: disturbed, newFailureRate: disturbed}.run()
+	qt.Assert(t, r.decision.Completed, qt.IsTrue, qt.Commentf("%+v", r))
+	qt.Assert(t, r.pauses, qt.Equals, uint32(2))
+}
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -60,6 +60,8 @@
 	Step       int
 	RolledBack bool
 	Completed  bool
+	// Pauses is the number of pauses and resumptions to move to, or the current one; see IsPaused.
+	Pauses uint32
 	// AtRisk is set if the deadline is likely to be missed.
 	AtRisk bool
 	// Reason explains RolledBack or Completed. It has no meaning if neither is set.
@@ -71,13 +73,23 @@
 	a.decay(now)
 	a.evaluatePending(now)
 	if step != a.step {
-		a.step, a.stepSince, a.stepCalls = step, now, 0
+		a.enterStep(step, now)
 	}
 	if a.reason != "" {
-		return Decision{Step: a.step, RolledBack: true, Reason: a.reason}
+		return Decision{Step: a.step, Pauses: a.pauses, RolledBack: true, Reason: a.reason}
 	}
-	d := Decision{Step: a.step, AtRisk: a.atRisk(now)}
-	if a.maxScore() >= holdFraction*a.config.Preset.RollbackThreshold || a.failsTooOften() {
+	d := Decision{Step: a.step, Pauses: a.pauses, AtRisk: a.atRisk(now)}
+	if IsPaused(a.pauses) {
+		if a.mayResume(now) {
+			d.Pauses++
+		}
+		return d
+	}
+	a.held = a.failsTooOften()
+	if a.held && a.mustPause() {
+		d.Pauses++
+	}
+	if a.held || a.maxScore() >= holdFraction*a.config.Preset.RollbackThreshold {
 		return d
 	}
 	last := LastStep(a.config.Preset)
@@ -88,12 +100,17 @@
 		d.Reason = "all traffic moved and the watch period passed"
 	case elapsed >= a.stepDuration() && !now.Before(a.firstStepEnd()) && a.stepCalls >= a.requiredCalls(now) &&
 		a.allRoutesCovered(now):
-		a.step, a.stepSince, a.stepCalls = a.step+1, now, 0
+		a.enterStep(a.step+1, now)
 		d.Step = a.step
 	}
 	return d
 }
 
+// enterStep begins a step.
+func (a *Analysis) enterStep(step int, now time.Time) {
+	a.step, a.stepSince, a.stepCalls, a.heldFailures = step, now, 0, 0
+}
+
 func (a *Analysis) watchPeriod() time.Duration {
 	return time.Duration(a.config.Preset.WatchMs) * time.Millisecond
 }
--- a/internal/standin/rollouts/baseline.go
+++ b/internal/standin/rollouts/baseline.go
@@ -59,3 +59,6 @@
 	}
 	return d
 }
+
+// SetPauses implements Judge. The baseline never pauses a rollout.
+func (b *Baseline) SetPauses(uint32, time.Time) {}
--- a/internal/standin/rollouts/run.go
+++ b/internal/standin/rollouts/run.go
@@ -37,6 +37,8 @@
 type Judge interface {
 	Observe([]*schema.Evidence, time.Time)
 	Decide(now time.Time, step int) roller.Decision
+	// SetPauses sets the number of pauses and resumptions in force; see roller.IsPaused.
+	SetPauses(pauses uint32, now time.Time)
 }
 
 // NewJudge makes the judge of one controller.
@@ -63,6 +65,7 @@
 	rollout := &schema.Rollout{Name: "x", Service: "a", From: "v1", To: "v2", DeadlineUnixMs: start.Add(s.Deadline).UnixMilli()}
 	failovers := s.ControllerFailovers
 	step := 0
+	var pauses uint32
 	var result Result
 	j := judge(roller.Config{Rollout: rollout, Preset: p, Now: start})
 	maxAge := 2*s.Deadline + 2*time.Duration(p.WatchMs)*time.Millisecond
@@ -72,14 +75,19 @@
 			failovers = failovers[1:]
 			j = judge(roller.Config{Rollout: rollout, Preset: p, Now: now, Step: step})
 		}
-		j.Observe(r.evidence(age, roller.ShareAt(p, step)), now)
+		j.SetPauses(pauses, now)
+		share := roller.ShareAt(p, step)
+		if roller.IsPaused(pauses) {
+			share = 0
+		}
+		j.Observe(r.evidence(age, share), now)
 		d := j.Decide(now, step)
 		result.Duration = age
 		if d.RolledBack || d.Completed {
 			result.RolledBack, result.Completed, result.Reason = d.RolledBack, d.Completed, d.Reason
 			break
 		}
-		step = d.Step
+		step, pauses = d.Step, d.Pauses
 		if step == roller.LastStep(p) && age <= s.Deadline {
 			result.OnTime = true
 		}
