Roller: calls count once they are scored, and only beside the old version's reports

Change: a step counts scored calls; below the last step a rollout does not advance while the old version's calls are missing, given the share, with a probability under 1%.

--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -59,7 +59,7 @@
 	// pending holds the new version's evidence, oldest first, until evaluationDelay has passed.
 	pending []pendingEvidence
 	step    int
-	// stepSince is when the step was reached; stepCalls counts calls to the new version since then.
+	// stepSince is when the step was reached; stepCalls counts the scored calls to the new version since then.
 	stepSince time.Time
 	stepCalls uint64
 	// held is set while the rollout is held since a version fails too often; heldFailures counts the new version's failures
@@ -115,7 +115,6 @@
 	for _, e := range evidence {
 		switch e.Version {
 		case a.config.Rollout.To:
-			a.stepCalls += e.Calls
 			if a.held {
 				a.heldFailures += e.Failures
 			}
@@ -140,6 +139,9 @@
 func (a *Analysis) evaluatePending(now time.Time) {
 	for len(a.pending) > 0 && a.isDue(a.pending[0], now) {
 		e := a.pending[0].evidence
+		if !a.pending[0].at.Before(a.stepSince) {
+			a.stepCalls += e.Calls
+		}
 		a.pending = a.pending[1:]
 		r := a.route(e.Route)
 		r.addNew(e, a.countedFailures(e), &a.service)
--- a/internal/roller/analysis_test.go
+++ b/internal/roller/analysis_test.go
@@ -310,3 +310,42 @@
 	qt.Assert(t, r.decision.Completed, qt.IsTrue, qt.Commentf("%+v", r))
 	qt.Assert(t, r.pauses, qt.Equals, uint32(2))
 }
+
+// lastStep runs an analysis with the evidence of each tick until a time, and returns the step that it reached.
+func lastStep(t *testing.T, until time.Duration, evidence func(elapsed time.Duration) []*schema.Evidence) int {
+	t.Helper()
+	start := time.Now()
+	analysis := roller.New(roller.Config{Preset: reducer.DefaultPreset([]string{"0"}), Now: start, Deadline: start.Add(duration),
+		Rollout: &schema.Rollout{Name: "s", Service: "s", To: "v2", DurationMs: uint32(duration.Milliseconds())}})
+	d := roller.Decision{}
+	for elapsed := time.Duration(0); elapsed <= until; elapsed += tick {
+		now := start.Add(elapsed)
+		analysis.Observe(evidence(elapsed), now)
+		d = analysis.Decide(now, d.Step)
+		qt.Assert(t, d.RolledBack, qt.IsFalse, qt.Commentf("after %v: %s", elapsed, d.Reason))
+	}
+	return d.Step
+}
+
+// TestUnscoredCallsAdvanceNothing reports all calls to the new version at once, as after a cut has ended: they do not count
+// for the step until they have been compared with the old version's.
+func TestUnscoredCallsAdvanceNothing(t *testing.T) {
+	const reportedAt = duration * 2 / 3
+	step := lastStep(t, reportedAt, func(elapsed time.Duration) []*schema.Evidence {
+		evidence := []*schema.Evidence{{Route: "r", Version: "v1", Calls: 20}}
+		if elapsed == reportedAt {
+			evidence = append(evidence, &schema.Evidence{Route: "r", Version: "v2", Calls: 20, Failures: 10})
+		}
+		return evidence
+	})
+	qt.Assert(t, step, qt.Equals, 0)
+}
+
+// TestNoAdvanceWithoutOldVersion reports calls to the new version only, as to a controller that few nodes reach: without the
+// old version's evidence there is nothing to compare with.
+func TestNoAdvanceWithoutOldVersion(t *testing.T) {
+	step := lastStep(t, duration, func(time.Duration) []*schema.Evidence {
+		return []*schema.Evidence{{Route: "r", Version: "v2", Calls: 5}}
+	})
+	qt.Assert(t, step, qt.Equals, 0)
+}
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -24,6 +24,9 @@
 	// minObservationTime is how long a controller collects evidence of its own before a near deadline lets it advance
 	// with fewer calls: one that has just taken over has none yet.
 	minObservationTime = 2 * time.Second
+	// minAllNewProbability is the lowest probability, given the share, that all calls of a step went to the new version for
+	// which the absence of calls to the old one is taken for a fact.
+	minAllNewProbability = 0.01
 	// minStepDuration is the lower bound of a step that is shortened because of the deadline.
 	minStepDuration = 500 * time.Millisecond
 	// defaultFirstShare is used when the preset sets no first share.
@@ -98,14 +101,21 @@
 	case a.step >= last:
 		d.Completed = elapsed >= a.watchPeriod()
 		d.Reason = "all traffic moved and the watch period passed"
-	case elapsed >= a.stepDuration() && !now.Before(a.firstStepEnd()) && a.stepCalls >= a.requiredCalls(now) &&
-		a.allRoutesCovered(now):
+	case elapsed >= a.stepDuration() && !now.Before(a.firstStepEnd()) && a.isComparable() &&
+		a.stepCalls >= a.requiredCalls(now) && a.allRoutesCovered(now):
 		a.enterStep(a.step+1, now)
 		d.Step = a.step
 	}
 	return d
 }
 
+// isComparable reports whether the old version's reports arrive: whether it has had calls, or the new one so few on this
+// step that all calls may have gone there.
+func (a *Analysis) isComparable() bool {
+	return a.service.longTerm.calls >= 1 ||
+		math.Pow(ShareAt(a.config.Preset, a.step), float64(a.stepCalls)) >= minAllNewProbability
+}
+
 // enterStep begins a step.
 func (a *Analysis) enterStep(step int, now time.Time) {
 	a.step, a.stepSince, a.stepCalls, a.heldFailures = step, now, 0, 0
