Roller: failures of a past disturbance excuse no new ones, and a late rollout is not hurried

Change: once the old version has not failed too often for a second, only its calls since then are compared with; a rollout that can't be completed in time takes its usual steps. Result: TestBadVersionIsFoundAfterDisturbance and TestLateRolloutIsNotHurried failed before and pass.

--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -66,10 +66,9 @@
 	// in that time since the step was reached.
 	held         bool
 	heldFailures uint64
-	// pauses counts pauses and resumptions; see IsPaused. recoveredAt is since when the old version of a paused rollout has
-	// not failed too often, or zero.
+	// pauses counts pauses and resumptions; see IsPaused. pausesSince is when it was set.
 	pauses      uint32
-	recoveredAt time.Time
+	pausesSince time.Time
 	decayedAt   time.Time
 	// reason is why the rollout is rolled back, or empty.
 	reason string
@@ -229,20 +228,47 @@
 	return highest
 }
 
-// failsTooOften reports whether the recent failure rate of either version on a route is above holdFailureRate, or that of
-// the new version may be, as far as its few recent calls show.
+// failsTooOften reports whether the recent failure rate of either version on a route is above holdFailureRate, that of the
+// old one was until less than recoveryTime ago, or that of the new one may be, as far as its few recent calls show.
 func (a *Analysis) failsTooOften() bool {
 	for _, r := range a.routes {
 		if r.mayFailHeavily(&a.service) {
 			return true
 		}
-		if r.recent.failsTooOften() || !r.baseline.frozen && r.baseline.shortTerm.failsTooOften() {
+		if r.recent.failsTooOften() || !r.baseline.frozen && r.baseline.disturbed {
 			return true
 		}
 	}
 	return false
 }
 
+// isDisturbed reports whether the old version fails too often on a route, or has until less than recoveryTime ago.
+func (a *Analysis) isDisturbed() bool {
+	for _, r := range a.routes {
+		if r.baseline.disturbed {
+			return true
+		}
+	}
+	return false
+}
+
+// updateDisturbances updates whether the old version is disturbed on each route. Once that has ended on a route, the counts
+// of the service leave out what happened on it before.
+func (a *Analysis) updateDisturbances(now time.Time) {
+	ended := false
+	for _, r := range a.routes {
+		ended = r.baseline.updateDisturbance(now) || ended
+	}
+	if !ended {
+		return
+	}
+	a.service = baseline{}
+	for _, r := range a.routes {
+		a.service.longTerm.addCounts(&r.baseline.longTerm)
+		a.service.shortTerm.addCounts(&r.baseline.shortTerm)
+	}
+}
+
 // mayFailHeavily reports whether the new version's recent calls are more likely for a version that fails heavily than for
 // one like the old version. The comparison ends when the old version receives no more traffic.
 func (r *routeComparison) mayFailHeavily(service *baseline) bool {
@@ -262,7 +288,7 @@
 func (a *Analysis) decay(now time.Time) {
 	elapsed := now.Sub(a.decayedAt)
 	a.decayedAt = now
-	frozen := a.step >= LastStep(a.config.Preset)
+	frozen := a.step >= LastStep(a.config.Preset) && !IsPaused(a.pauses)
 	for _, r := range a.routes {
 		r.recent.decay(math.Pow(0.5, float64(elapsed)/float64(holdHalfLife)))
 		r.baseline.frozen = frozen
@@ -272,5 +298,6 @@
 	}
 	if !frozen {
 		a.service.decay(elapsed)
+		a.updateDisturbances(now)
 	}
 }
--- a/internal/roller/analysis_test.go
+++ b/internal/roller/analysis_test.go
@@ -349,3 +349,55 @@
 	})
 	qt.Assert(t, step, qt.Equals, 0)
 }
+
+// TestBadVersionIsFoundAfterDisturbance lets the old version fail often for most of the time, and the new one get few calls: once
+// the old version has recovered, its earlier failures must not excuse those of the new one.
+func TestBadVersionIsFoundAfterDisturbance(t *testing.T) {
+	const (
+		recovery = duration / 2
+		// maxFailures is the number of failures after the recovery that a comparison with a sound old version may take.
+		maxFailures = 6
+	)
+	start := time.Now()
+	analysis := roller.New(roller.Config{Preset: reducer.DefaultPreset([]string{"0"}), Now: start, Deadline: start.Add(duration),
+		Rollout: &schema.Rollout{Name: "s", Service: "s", To: "v2", DurationMs: uint32(duration.Milliseconds())}})
+	d := roller.Decision{}
+	failures := uint64(0)
+	for elapsed := time.Duration(0); elapsed <= duration && !d.RolledBack; elapsed += tick {
+		now := start.Add(elapsed)
+		before := &schema.Evidence{Route: "r", Version: "v1", Calls: 20}
+		after := &schema.Evidence{Route: "r", Version: "v2", Calls: 1}
+		switch {
+		case elapsed < recovery:
+			before.Failures = 8
+		case elapsed >= recovery+3*time.Second && (elapsed/tick)%2 == 0:
+			after.Failures = 1
+			failures++
+		}
+		analysis.Observe([]*schema.Evidence{before, after}, now)
+		d = analysis.Decide(now, d.Step)
+	}
+	qt.Assert(t, d.RolledBack, qt.IsTrue)
+	qt.Assert(t, failures <= maxFailures, qt.IsTrue, qt.Commentf("%d failures", failures))
+}
+
+// TestLateRolloutIsNotHurried holds a rollout until its deadline can't be met any more: its steps are then as long as usual.
+func TestLateRolloutIsNotHurried(t *testing.T) {
+	const recovery = duration - 4*time.Second
+	preset := reducer.DefaultPreset([]string{"0"})
+	interval := time.Duration(preset.StepIntervalMs) * time.Millisecond
+	evidence := func(elapsed time.Duration) []*schema.Evidence {
+		old := &schema.Evidence{Route: "r", Version: "v1", Calls: 20}
+		if elapsed < recovery {
+			old.Failures = 10
+		}
+		return []*schema.Evidence{old, {Route: "r", Version: "v2", Calls: 5}}
+	}
+	first := recovery
+	for lastStep(t, first, evidence) == 0 {
+		first += tick
+	}
+	qt.Assert(t, first > duration-3*time.Second, qt.IsTrue, qt.Commentf("first step ends after %v", first))
+	qt.Assert(t, lastStep(t, first+interval-tick, evidence), qt.Equals, 1)
+	qt.Assert(t, lastStep(t, first+interval+3*tick, evidence) > 1, qt.IsTrue)
+}
--- a/internal/roller/baseline.go
+++ b/internal/roller/baseline.go
@@ -41,6 +41,18 @@
 	c.starvedFailures += float64(e.StarvedFailures)
 }
 
+// addCounts adds the counts of another value.
+func (c *counts) addCounts(o *counts) {
+	c.calls += o.calls
+	c.failures += o.failures
+	c.rejections += o.rejections
+	for i, n := range o.latencies {
+		c.latencies[i] += n
+	}
+	c.starvedCalls += o.starvedCalls
+	c.starvedFailures += o.starvedFailures
+}
+
 func (c *counts) decay(factor float64) {
 	c.calls *= factor
 	c.failures *= factor
@@ -56,11 +68,38 @@
 	shortTerm counts
 	// frozen is set on a route's baseline once the old version receives no traffic.
 	frozen bool
+	// disturbed is set on a route's baseline from when the old version fails too often until it has not for recoveryTime.
+	// calmAt is since when it has not, or zero, and calm counts the calls since then.
+	disturbed bool
+	calmAt    time.Time
+	calm      counts
 }
 
 func (b *baseline) add(e *schema.Evidence) {
 	b.longTerm.add(e)
 	b.shortTerm.add(e)
+	if !b.calmAt.IsZero() {
+		b.calm.add(e)
+	}
+}
+
+// recoveryTime is how long the old version must not have failed too often after a disturbance for the comparison to go on.
+const recoveryTime = time.Second
+
+// updateDisturbance updates whether the old version is disturbed. After a disturbance, only the calls since its end are
+// kept: those before don't show how often the old version fails now. It reports whether the disturbance has ended.
+func (b *baseline) updateDisturbance(now time.Time) (ended bool) {
+	switch {
+	case b.shortTerm.failsTooOften():
+		b.disturbed, b.calmAt = true, time.Time{}
+	case b.disturbed && b.calmAt.IsZero():
+		b.calmAt, b.calm = now, counts{}
+	case b.disturbed && now.Sub(b.calmAt) >= recoveryTime:
+		b.longTerm, b.shortTerm = b.calm, b.calm
+		b.disturbed, b.calmAt = false, time.Time{}
+		return true
+	}
+	return false
 }
 
 func (b *baseline) decay(elapsed time.Duration) {
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -148,21 +148,25 @@
 	return a.config.Deadline.Add(-time.Duration((1 - a.config.Preset.FirstStepPart) * float64(duration)))
 }
 
-// stepBudget returns the time that each remaining step may take for the last one to be reached by the deadline.
+// stepBudget returns the time that each remaining step may take for the last one to be reached by the deadline, or the
+// preset's step interval if the deadline can't be met any more.
 func (a *Analysis) stepBudget() time.Duration {
 	remaining := LastStep(a.config.Preset) - a.step
 	if remaining <= 0 {
 		return a.watchPeriod()
 	}
+	if a.isLate(a.stepSince) {
+		return time.Duration(a.config.Preset.StepIntervalMs) * time.Millisecond
+	}
 	// Half of the remaining time is for the steps, the other half is slack for holds and controller changes.
 	return a.config.Deadline.Sub(a.stepSince) / time.Duration(2*remaining)
 }
 
 // requiredCalls returns how many calls to the new version the step needs: the preset's minimum, minCallsPerStep once
-// the step exceeds its budget or the rollout is urgent, and none in an urgent rollout of a service without calls.
+// the step exceeds its budget or the rollout is urgent, and none near or after the deadline in a service without calls.
 func (a *Analysis) requiredCalls(now time.Time) uint64 {
 	urgent := a.isUrgent(now)
-	if urgent && a.service.longTerm.calls < 1 {
+	if a.isNearDeadline(now) && a.service.longTerm.calls < 1 {
 		return 0
 	}
 	needed := uint64(max(a.config.Preset.MinCalls, minCallsPerStep))
@@ -172,14 +176,26 @@
 	return needed
 }
 
-// isUrgent reports whether the time left is at most twice the minimum that the remaining steps and the watch period
-// need. The step then needs fewer calls.
-func (a *Analysis) isUrgent(now time.Time) bool {
+// isNearDeadline reports whether the time left is at most twice the minimum that the remaining steps and the watch period
+// need.
+func (a *Analysis) isNearDeadline(now time.Time) bool {
 	if a.config.Rollout.DurationMs == 0 || now.Sub(a.config.Now) < minObservationTime {
 		return false
 	}
-	shortest := time.Duration(LastStep(a.config.Preset)-a.step)*minStepDuration + a.watchPeriod()
-	return a.config.Deadline.Sub(now) <= 2*shortest
+	return a.config.Deadline.Sub(now) <= 2*a.shortestTime()
+}
+
+// isUrgent reports whether the deadline is near and can still be met. The step then needs fewer calls.
+func (a *Analysis) isUrgent(now time.Time) bool { return a.isNearDeadline(now) && !a.isLate(now) }
+
+// isLate reports whether a rollout that has to be completed by its deadline can't be any more. It is then not hurried.
+func (a *Analysis) isLate(now time.Time) bool {
+	return a.config.Rollout.DurationMs > 0 && a.config.Deadline.Sub(now) < a.shortestTime()
+}
+
+// shortestTime returns the minimum that the remaining steps and the watch period need.
+func (a *Analysis) shortestTime() time.Duration {
+	return time.Duration(LastStep(a.config.Preset)-a.step)*minStepDuration + a.watchPeriod()
 }
 
 // allRoutesCovered reports whether the new version has received minCallsPerRoute calls on every route that the old one
