Roller: an old version that always fails on a rare route keeps no rollout paused

Change: only routes with at least a twentieth of the service's recent calls count. Result: TestFailingRareRouteKeepsNothingPaused failed before (one pause, no resumption) and passes.

--- a/internal/roller/analysis_test.go
+++ b/internal/roller/analysis_test.go
@@ -401,3 +401,31 @@
 	qt.Assert(t, lastStep(t, first+interval-tick, evidence), qt.Equals, 1)
 	qt.Assert(t, lastStep(t, first+interval+3*tick, evidence) > 1, qt.IsTrue)
 }
+
+// TestFailingRareRouteKeepsNothingPaused lets the old version always fail on a route with few calls: a rollout that was paused
+// during a disturbance of the main route is resumed after it.
+func TestFailingRareRouteKeepsNothingPaused(t *testing.T) {
+	const recovery = duration / 3
+	start := time.Now()
+	analysis := roller.New(roller.Config{Preset: reducer.DefaultPreset([]string{"0"}), Now: start, Deadline: start.Add(duration),
+		Rollout: &schema.Rollout{Name: "s", Service: "s", To: "v2", DurationMs: uint32(duration.Milliseconds())}})
+	d := roller.Decision{}
+	for elapsed := time.Duration(0); elapsed <= duration; elapsed += tick {
+		now := start.Add(elapsed)
+		main := &schema.Evidence{Route: "main", Version: "v1", Calls: 50}
+		candidate := &schema.Evidence{Route: "main", Version: "v2", Calls: 4}
+		if elapsed < recovery {
+			main.Failures, candidate.Failures = 25, 2
+		}
+		evidence := []*schema.Evidence{main, {Route: "rare", Version: "v1", Calls: 1, Failures: 1}}
+		if !roller.IsPaused(d.Pauses) {
+			evidence = append(evidence, candidate)
+		}
+		analysis.Observe(evidence, now)
+		d = analysis.Decide(now, d.Step)
+		analysis.SetPauses(d.Pauses, now)
+		qt.Assert(t, d.RolledBack, qt.IsFalse, qt.Commentf("after %v: %s", elapsed, d.Reason))
+	}
+	qt.Assert(t, d.Pauses, qt.Equals, uint32(2))
+	qt.Assert(t, d.Step > 0, qt.IsTrue)
+}
--- a/internal/roller/baseline.go
+++ b/internal/roller/baseline.go
@@ -86,11 +86,12 @@
 // recoveryTime is how long the old version must not have failed too often after a disturbance for the comparison to go on.
 const recoveryTime = time.Second
 
-// updateDisturbance updates whether the old version is disturbed. After a disturbance, only the calls since its end are
-// kept: those before don't show how often the old version fails now. It reports whether the disturbance has ended.
-func (b *baseline) updateDisturbance(now time.Time) (ended bool) {
+// updateDisturbance updates whether the old version is disturbed on a route with at least minCalls recent calls. After a
+// disturbance, only the calls since its end are kept: those before don't show how often the old version fails now. It
+// reports whether the disturbance has ended.
+func (b *baseline) updateDisturbance(minCalls float64, now time.Time) (ended bool) {
 	switch {
-	case b.shortTerm.failsTooOften():
+	case b.shortTerm.calls >= minCalls && b.shortTerm.failsTooOften():
 		b.disturbed, b.calmAt = true, time.Time{}
 	case b.disturbed && b.calmAt.IsZero():
 		b.calmAt, b.calm = now, counts{}
