Roller: larger steps wait for calls on each main route

The first step's minimum of calls on each route ended with the step's budget, which passes before the earliest end of that step, and later steps had none. Change: on routes with at least a twentieth of the service's calls, steps need 4, 8 and 16 calls to the new version, but wait at most 1.5 s for them.

--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -27,9 +27,9 @@
 	// holdFailureRate is the failure rate of either version on a route above which the rollout is held: the service is
 	// disturbed, and the difference between the versions is too small to be found before a bad one has got too much.
 	holdFailureRate = 0.25
-	// minDisturbedShare is the lowest share of the service's calls of a route whose failures of the old version hold the
-	// rollout. A rare route may always fail.
-	minDisturbedShare = 0.05
+	// minMainShare is the lowest share of the service's calls of a main route. The old version's failures on other routes do
+	// not hold the rollout, since a rare route may always fail.
+	minMainShare = 0.05
 	// holdHeavyFailures is the log-likelihood ratio of heavyFailures for the new version's recent calls on a route from
 	// which the rollout is held.
 	holdHeavyFailures = 1
@@ -259,7 +259,7 @@
 // of the service leave out what happened on it before.
 func (a *Analysis) updateDisturbances(now time.Time) {
 	ended := false
-	minCalls := minDisturbedShare * a.service.shortTerm.calls
+	minCalls := minMainShare * a.service.shortTerm.calls
 	for _, r := range a.routes {
 		ended = r.baseline.updateDisturbance(minCalls, now) || ended
 	}
--- a/internal/roller/plan.go
+++ b/internal/roller/plan.go
@@ -18,6 +18,8 @@
 	minCallsPerStep = 5
 	// minCallsPerRoute is the number of calls to the new version on each route before the first step ends.
 	minCallsPerRoute = 4
+	// coverageTime is how much longer a step lasts at most for calls to the new version on the main routes.
+	coverageTime = 1500 * time.Millisecond
 	// holdFraction is the fraction of the rollback threshold at which a score holds the rollout on its step, until the
 	// score has fallen below it again.
 	holdFraction = 0.4
@@ -198,14 +200,21 @@
 	return time.Duration(LastStep(a.config.Preset)-a.step)*minStepDuration + a.watchPeriod()
 }
 
-// allRoutesCovered reports whether the new version has received minCallsPerRoute calls on every route that the old one
-// serves. It is required in the first step only, and only within the step's budget.
+// allRoutesCovered reports whether the new version has received enough calls on every route that the old one serves. In
+// the first step that is minCallsPerRoute calls, required within the step's budget. On main routes it doubles with each
+// step, and is required until coverageTime after the earliest end of the step.
 func (a *Analysis) allRoutesCovered(now time.Time) bool {
-	if a.step > 0 || now.Sub(a.stepSince) > a.stepBudget() {
-		return true
+	needsAll := a.step == 0 && now.Sub(a.stepSince) <= a.stepBudget()
+	earliest := a.stepSince.Add(a.stepDuration())
+	if end := a.firstStepEnd(); end.After(earliest) {
+		earliest = end
 	}
+	needsMain := now.Sub(earliest) <= coverageTime
+	mainCalls := max(minMainShare*a.service.longTerm.calls, 1)
 	for _, r := range a.routes {
-		if r.baseline.longTerm.calls >= 1 && r.newCalls < minCallsPerRoute {
+		calls := r.baseline.longTerm.calls
+		if needsAll && calls >= 1 && r.newCalls < minCallsPerRoute ||
+			needsMain && calls >= mainCalls && r.newCalls < minCallsPerRoute<<a.step {
 			return false
 		}
 	}
