Roller: rare routes hold no rollout, and scores start anew after a disturbance

Cause: two faults that roll good versions back. Change: recent failure rates hold only on routes with a tenth of the service's calls, which is also the bound of a main route; a route's scores are dropped when its disturbance ends.

--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -27,9 +27,9 @@
 	// holdFailureRate is the failure rate of either version on a route above which the rollout is held: the service is
 	// disturbed, and the difference between the versions is too small to be found before a bad one has got too much.
 	holdFailureRate = 0.25
-	// minMainShare is the lowest share of the service's calls of a main route. The old version's failures on other routes do
-	// not hold the rollout, since a rare route may always fail.
-	minMainShare = 0.05
+	// minMainShare is the lowest share of the service's calls of a main route. Failure rates on other routes do not hold the
+	// rollout, since a rare route may always fail.
+	minMainShare = 0.1
 	// holdHeavyFailures is the log-likelihood ratio of heavyFailures for the new version's recent calls on a route from
 	// which the rollout is held.
 	holdHeavyFailures = 1
@@ -231,14 +231,16 @@
 	return highest
 }
 
-// failsTooOften reports whether the recent failure rate of either version on a route is above holdFailureRate, that of the
-// old one was until less than recoveryTime ago, or that of the new one may be, as far as its few recent calls show.
+// failsTooOften reports whether the recent failure rate of either version on a main route is above holdFailureRate, that of
+// the old one was until less than recoveryTime ago, or that of the new one may be on any route, as far as its few recent
+// calls show.
 func (a *Analysis) failsTooOften() bool {
+	mainCalls := minMainShare * a.service.longTerm.calls
 	for _, r := range a.routes {
-		if r.mayFailHeavily(&a.service) {
+		if r.mayFailHeavily(&a.service) || r.baseline.disturbed && !r.baseline.frozen {
 			return true
 		}
-		if r.recent.failsTooOften() || !r.baseline.frozen && r.baseline.disturbed {
+		if r.baseline.longTerm.calls >= mainCalls && r.recent.failsTooOften() {
 			return true
 		}
 	}
@@ -255,13 +257,17 @@
 	return false
 }
 
-// updateDisturbances updates whether the old version is disturbed on each route. Once that has ended on a route, the counts
-// of the service leave out what happened on it before.
+// updateDisturbances updates whether the old version is disturbed on each route. Once that has ended on a route, the
+// comparison starts anew there, and the counts of the service leave out what happened on it before: scores that were
+// gathered beside a disturbed version are too high beside a sound one, whose margin is smaller.
 func (a *Analysis) updateDisturbances(now time.Time) {
 	ended := false
 	minCalls := minMainShare * a.service.shortTerm.calls
 	for _, r := range a.routes {
-		ended = r.baseline.updateDisturbance(minCalls, now) || ended
+		if r.baseline.updateDisturbance(minCalls, now) {
+			ended = true
+			r.failureScore, r.grossFailureScore, r.rejectionScore, r.latencyScore = cusum{}, cusum{}, cusum{}, cusum{}
+		}
 	}
 	if !ended {
 		return
--- a/internal/roller/analysis_test.go
+++ b/internal/roller/analysis_test.go
@@ -455,3 +455,33 @@
 		})
 	}
 }
+
+// TestFailingRareRouteHoldsNothing lets both versions always fail on a route with few calls: the good version is completed.
+func TestFailingRareRouteHoldsNothing(t *testing.T) {
+	start := time.Now()
+	preset := reducer.DefaultPreset([]string{"0"})
+	analysis := roller.New(roller.Config{Preset: preset, Now: start, Deadline: start.Add(duration),
+		Rollout: &schema.Rollout{Name: "s", Service: "s", To: "v2", DurationMs: uint32(duration.Milliseconds())}})
+	d := roller.Decision{}
+	// due carries the fraction of a call into the next tick, by route and version.
+	due := map[string]float64{}
+	for elapsed := time.Duration(0); elapsed <= duration && !d.Completed; elapsed += tick {
+		now := start.Add(elapsed)
+		for route, calls := range map[string]float64{"main": 30, "rare": 0.5} {
+			share := roller.ShareAt(preset, d.Step)
+			for version, part := range map[string]float64{"v1": 1 - share, "v2": share} {
+				key := route + version
+				due[key] += part * calls
+				e := &schema.Evidence{Route: route, Version: version, Calls: uint64(due[key])}
+				due[key] -= float64(e.Calls)
+				if route == "rare" {
+					e.Failures = e.Calls
+				}
+				analysis.Observe([]*schema.Evidence{e}, now)
+			}
+		}
+		d = analysis.Decide(now, d.Step)
+		qt.Assert(t, d.RolledBack, qt.IsFalse, qt.Commentf("after %v: %s", elapsed, d.Reason))
+	}
+	qt.Assert(t, d.Completed, qt.IsTrue)
+}
