--- a/internal/roller/analysis.go
+++ b/internal/roller/analysis.go
@@ -27,6 +27,12 @@
 	// holdFailureRate is the failure rate of either version on a route above which the rollout is held: the service is
 	// disturbed, and the difference between the versions is too small to be found before a bad one has got too much.
 	holdFailureRate = 0.25
+	// minMainShare is the lowest share of the service's calls of a main route. Failure rates on other routes do not hold the
+	// rollout, since a rare route may always fail.
+	minMainShare = 0.1
+	// holdHeavyFailures is the log-likelihood ratio of heavyFailures for the new version's recent calls on a route from
+	// which the rollout is held.
+	holdHeavyFailures = 1
 )
 
 // A call is slow if its latency is more than twice the old version's slowQuantile. Routes with fewer than
@@ -56,10 +62,17 @@
 	// pending holds the new version's evidence, oldest first, until evaluationDelay has passed.
 	pending []pendingEvidence
 	step    int
-	// stepSince is when the step was reached; stepCalls counts calls to the new version since then.
+	// stepSince is when the step was reached; stepCalls counts the scored calls to the new version since then.
 	stepSince time.Time
 	stepCalls uint64
-	decayedAt time.Time
+	// held is set while the rollout is held since a version fails too often; heldFailures counts the new version's failures
+	// in that time since the step was reached.
+	held         bool
+	heldFailures uint64
+	// pauses counts pauses and resumptions; see IsPaused. pausesSince is when it was set.
+	pauses      uint32
+	pausesSince time.Time
+	decayedAt   time.Time
 	// reason is why the rollout is rolled back, or empty.
 	reason string
 }
@@ -104,7 +117,9 @@
 	for _, e := range evidence {
 		switch e.Version {
 		case a.config.Rollout.To:
-			a.stepCalls += e.Calls
+			if a.held {
+				a.heldFailures += e.Failures
+			}
 			a.pending = append(a.pending, pendingEvidence{at: now, evidence: e})
 		default:
 			a.service.add(e)
@@ -126,6 +141,9 @@
 func (a *Analysis) evaluatePending(now time.Time) {
 	for len(a.pending) > 0 && a.isDue(a.pending[0], now) {
 		e := a.pending[0].evidence
+		if !a.pending[0].at.Before(a.stepSince) {
+			a.stepCalls += e.Calls
+		}
 		a.pending = a.pending[1:]
 		r := a.route(e.Route)
 		r.addNew(e, a.countedFailures(e), &a.service)
@@ -158,7 +176,7 @@
 	r.newFailures += failed
 	r.recent.add(e)
 	calls := float64(e.Calls)
-	oldRate := r.baseline.failureRate(e, service, failures.floor)
+	oldRate := r.baseline.failureRate(calls, float64(e.StarvedCalls), service, failures.floor)
 	r.failureScore.add(failures, float64(failed), calls, oldRate)
 	r.grossFailureScore.add(grossFailures, float64(failed), calls, oldRate)
 	oldRate = r.baseline.rate(rejectionEvents, service, rejections.floor)
@@ -213,16 +231,65 @@
 	return highest
 }
 
-// failsTooOften reports whether the recent failure rate of either version on a route is above holdFailureRate.
+// failsTooOften reports whether the recent failure rate of either version on a main route is above holdFailureRate, that of
+// the old one was until less than recoveryTime ago, or that of the new one may be on any route, as far as its few recent
+// calls show.
 func (a *Analysis) failsTooOften() bool {
+	mainCalls := minMainShare * a.service.longTerm.calls
+	for _, r := range a.routes {
+		if r.mayFailHeavily(&a.service) || r.baseline.disturbed && !r.baseline.frozen {
+			return true
+		}
+		if r.baseline.longTerm.calls >= mainCalls && r.recent.failsTooOften() {
+			return true
+		}
+	}
+	return false
+}
+
+// isDisturbed reports whether the old version fails too often on a route, or has until less than recoveryTime ago.
+func (a *Analysis) isDisturbed() bool {
 	for _, r := range a.routes {
-		if r.recent.failsTooOften() || !r.baseline.frozen && r.baseline.shortTerm.failsTooOften() {
+		if r.baseline.disturbed {
 			return true
 		}
 	}
 	return false
 }
 
+// updateDisturbances updates whether the old version is disturbed on each route. Once that has ended on a route, the
+// comparison starts anew there, and the counts of the service leave out what happened on it before: scores that were
+// gathered beside a disturbed version are too high beside a sound one, whose margin is smaller.
+func (a *Analysis) updateDisturbances(now time.Time) {
+	ended := false
+	minCalls := minMainShare * a.service.shortTerm.calls
+	for _, r := range a.routes {
+		if r.baseline.updateDisturbance(minCalls, now) {
+			ended = true
+			r.failureScore, r.grossFailureScore, r.rejectionScore, r.latencyScore = cusum{}, cusum{}, cusum{}, cusum{}
+		}
+	}
+	if !ended {
+		return
+	}
+	a.service = baseline{}
+	for _, r := range a.routes {
+		a.service.longTerm.addCounts(&r.baseline.longTerm)
+		a.service.shortTerm.addCounts(&r.baseline.shortTerm)
+	}
+}
+
+// mayFailHeavily reports whether the new version's recent calls are more likely for a version that fails heavily than for
+// one like the old version. The comparison ends when the old version receives no more traffic.
+func (r *routeComparison) mayFailHeavily(service *baseline) bool {
+	c := &r.recent
+	if c.failures == 0 || r.baseline.frozen {
+		return false
+	}
+	oldRate := r.baseline.failureRate(c.calls, c.starvedCalls, service, heavyFailures.floor)
+	return heavyFailures.logLikelihoodRatio(c.failures, c.calls, oldRate) >= holdHeavyFailures
+}
+
 func (c *counts) failsTooOften() bool {
 	return c.calls >= minHoldCalls && c.failures > holdFailureRate*c.calls
 }
@@ -231,7 +298,7 @@
 func (a *Analysis) decay(now time.Time) {
 	elapsed := now.Sub(a.decayedAt)
 	a.decayedAt = now
-	frozen := a.step >= LastStep(a.config.Preset)
+	frozen := a.step >= LastStep(a.config.Preset) && !IsPaused(a.pauses)
 	for _, r := range a.routes {
 		r.recent.decay(math.Pow(0.5, float64(elapsed)/float64(holdHalfLife)))
 		r.baseline.frozen = frozen
@@ -241,5 +308,6 @@
 	}
 	if !frozen {
 		a.service.decay(elapsed)
+		a.updateDisturbances(now)
 	}
 }
