--- a/internal/controller/rolloutprogress.go
+++ b/internal/controller/rolloutprogress.go
@@ -90,8 +90,8 @@
 }
 
 // mergedProgress merges two values: completed overrides rolled back, which overrides every step. The higher step, the
-// higher number of pauses, the higher epoch with its controller, and the earlier start are kept. If two nodes have chosen the same epoch, the one whose
-// name sorts last is kept, so that all nodes agree.
+// higher number of pauses, the higher epoch with its controller, and the earlier start are kept. If two nodes have chosen
+// the same epoch, the one whose name sorts last is kept, so that all nodes agree.
 func mergedProgress(old, p *schema.Progress) *schema.Progress {
 	merged := proto.CloneOf(p)
 	merged.Sequence = 0
--- a/internal/forwarder/partialsecond_test.go
+++ b/internal/forwarder/partialsecond_test.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// publishOneConnection puts an upstream beside a node that takes one connection, which serve serves.
+func publishOneConnection(t *testing.T, n *testNode, serve func(net.Conn)) {
+	t.Helper()
+	u := &upstreamServer{address: serveConnections(t, serve)}
+	local := u.local("v1")
+	local.Connections = 1
+	n.publish(snapshotConfig{endpoints: n.endpoints("v1"), local: local, timeoutMs: 1000, attempts: 1})
+}
+
 // TestPartOfSecondResponseIsNoHeadOfTheNext sends a part of a second response to a call before the failure response to the
 // next call on the connection: its caller must not get a success.
 func TestPartOfSecondResponseIsNoHeadOfTheNext(t *testing.T) {
@@ -79,10 +88,7 @@
 				n := newNodeWith(t, "entry", sealedDialect())
 				for i := 1; i < len(second); i++ {
 					s := &stutterer{second: second[:i], place: place}
-					u := &upstreamServer{address: serveConnections(t, s.serve)}
-					local := u.local("v1")
-					local.Connections = 1
-					n.publish(snapshotConfig{endpoints: n.endpoints("v1"), local: local, timeoutMs: 1000, attempts: 1})
+					publishOneConnection(t, n, s.serve)
 					qt.Assert(t, do("GET", n.url("/get"), "", "X-Id", "1").status, qt.Equals, 200)
 					time.Sleep(idleTime)
 					r := do("GET", n.url("/get"), "", "X-Id", "2", "X-Time-Left", "300")
--- a/internal/forwarder/readercallbacks.go
+++ b/internal/forwarder/readercallbacks.go
@@ -179,7 +179,10 @@
 // passResponseHead passes on a response head unless it contains the beginning of another one. rest is the length of the
 // input that follows the head.
 func (r *reader) passResponseHead(rest int) {
-	head := append(r.head, r.input[:max(len(r.input)-rest, 0)]...)
+	head := r.input[:max(len(r.input)-rest, 0)]
+	if len(r.head) > 0 {
+		head = append(r.head, head...)
+	}
 	if _, found := afterStatusLine(head[min(1, len(head)):]); found {
 		r.fail(KindMalformed, "status line within a response head")
 		return
--- a/internal/forwarder/swallowed_test.go
+++ b/internal/forwarder/swallowed_test.go
@@ -45,13 +45,11 @@
 // TestDiscardedResponseHidesNoOther lets the body of a discarded response include the response to the call in progress: a
 // second response with other content must not take its place.
 func TestDiscardedResponseHidesNoOther(t *testing.T) {
-	for _, bodyBytes := range []int{len(swallowedResponse), len(swallowedResponse) - 1, len(swallowedResponse) - len("first"), strings.Index(swallowedResponse, "X-Seal")} {
+	whole := len(swallowedResponse)
+	for _, bodyBytes := range []int{whole, whole - 1, whole - len("first"), strings.Index(swallowedResponse, "X-Seal")} {
 		t.Run(fmt.Sprint(bodyBytes), func(t *testing.T) {
 			n := newNodeWith(t, "entry", sealedDialect())
-			u := &upstreamServer{address: serveConnections(t, swallower{bodyBytes}.serve)}
-			local := u.local("v1")
-			local.Connections = 1
-			n.publish(snapshotConfig{endpoints: n.endpoints("v1"), local: local, timeoutMs: 1000, attempts: 1})
+			publishOneConnection(t, n, swallower{bodyBytes}.serve)
 			qt.Assert(t, do("GET", n.url("/get"), "", "X-Id", "1").status, qt.Equals, 200)
 			time.Sleep(idleTime)
 			r := do("GET", n.url("/get"), "", "X-Id", "2", "X-Time-Left", "300")
