Stutterer: rules are named in the project's own words

Cause: the judge of the new soak named its rules in the words of the users' pages, which stay out of the code. Change: names of rules, constants and one method.

--- a/internal/standin/stutterer/history.go
+++ b/internal/standin/stutterer/history.go
@@ -15,10 +15,10 @@
 	runs   []*run
 	// answer is nil until the caller has got one.
 	answer *answer
-	// unasked describes how the request differed from what the caller sent when it reached an upstream.
-	unasked  []string
-	timeline strings.Builder
-	touched  time.Time
+	// unrequested describes how the request differed from what the caller sent when it reached an upstream.
+	unrequested []string
+	timeline    strings.Builder
+	touched     time.Time
 }
 
 // note adds a line to the timeline.
--- a/internal/standin/stutterer/judge_test.go
+++ b/internal/standin/stutterer/judge_test.go
@@ -35,16 +35,16 @@
 		{"run again elsewhere", true, []string{"u", "v"}, []int{500, 200}, answer{status: 200, whole: true}, 1, nil},
 		{"answer of the node", true, []string{"u"}, []int{200}, answer{status: 503}, -1, nil},
 		{"answer cut off", false, []string{"u"}, []int{200}, answer{lost: "EOF"}, -1, nil},
-		{"success of a failure", true, []string{"u"}, []int{500}, answer{status: 200, whole: true}, 0, []Rule{RuleMixed}},
-		{"failure of a success", true, []string{"u"}, []int{200}, answer{status: 500, whole: true}, 0, []Rule{RuleMixed}},
-		{"part of a body", true, []string{"u"}, []int{200}, answer{status: 200}, 0, []Rule{RuleMixed}},
-		{"no seal", true, []string{"u"}, []int{200}, answer{status: 200, whole: true}, -1, []Rule{RuleMixed}},
-		{"another seal", true, []string{"u"}, []int{200}, answer{status: 200, seal: "b", whole: true}, -1, []Rule{RuleMixed}},
-		{"another seal of a failure", true, []string{"u"}, []int{500}, answer{status: 500, seal: "b", whole: true}, -1, []Rule{RuleMixed}},
-		{"no answer", true, []string{"u"}, []int{500}, answer{lost: "x", malformed: true}, -1, []Rule{RuleMixed}},
-		{"twice", false, []string{"u", "v"}, []int{200, 200}, answer{status: 200, whole: true}, 0, []Rule{RuleTwice}},
-		{"broken promise", false, []string{"u"}, []int{200}, answer{status: 503}, -1, []Rule{RuleRefused}},
-		{"repeated", true, []string{"u", "v", "u"}, []int{500, 500, 200}, answer{status: 200, whole: true}, 2, []Rule{RuleRepeated}},
+		{"success of a failure", true, []string{"u"}, []int{500}, answer{status: 200, whole: true}, 0, []Rule{RuleWrongResponse}},
+		{"failure of a success", true, []string{"u"}, []int{200}, answer{status: 500, whole: true}, 0, []Rule{RuleWrongResponse}},
+		{"part of a body", true, []string{"u"}, []int{200}, answer{status: 200}, 0, []Rule{RuleWrongResponse}},
+		{"no seal", true, []string{"u"}, []int{200}, answer{status: 200, whole: true}, -1, []Rule{RuleWrongResponse}},
+		{"another seal", true, []string{"u"}, []int{200}, answer{status: 200, seal: "b", whole: true}, -1, []Rule{RuleWrongResponse}},
+		{"another seal of a failure", true, []string{"u"}, []int{500}, answer{status: 500, seal: "b", whole: true}, -1, []Rule{RuleWrongResponse}},
+		{"no answer", true, []string{"u"}, []int{500}, answer{lost: "x", malformed: true}, -1, []Rule{RuleWrongResponse}},
+		{"twice", false, []string{"u", "v"}, []int{200, 200}, answer{status: 200, whole: true}, 0, []Rule{RuleRunTwice}},
+		{"broken promise", false, []string{"u"}, []int{200}, answer{status: 503}, -1, []Rule{RuleFalseRefusal}},
+		{"repeated", true, []string{"u", "v", "u"}, []int{500, 500, 200}, answer{status: 200, whole: true}, 2, []Rule{RuleRepeatedAtUpstream}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h, seals := newHistory(c.idempotent, c.upstreams, c.statuses)
@@ -67,5 +67,5 @@
 	qt.Assert(t, ordinal, qt.Equals, 1)
 	found := judge(r.history)
 	qt.Assert(t, found, qt.HasLen, 1)
-	qt.Assert(t, found[0].rule, qt.Equals, RuleUnasked)
+	qt.Assert(t, found[0].rule, qt.Equals, RuleUnrequested)
 }
--- a/internal/standin/stutterer/ledger.go
+++ b/internal/standin/stutterer/ledger.go
@@ -46,7 +46,7 @@
 	defer l.mu.Unlock()
 	h := l.histories[id]
 	if h == nil {
-		h = &history{id: id, idempotent: true, unasked: []string{"no caller sent it"}}
+		h = &history{id: id, idempotent: true, unrequested: []string{"no caller sent it"}}
 		l.histories[id] = h
 	}
 	l.runs++
@@ -71,11 +71,11 @@
 	r.history.note("run %d: %s", r.number, text)
 }
 
-// addUnasked records that a run's request differs from what its caller sent.
-func (l *ledger) addUnasked(r *run, text string) {
+// addUnrequested records that a run's request differs from what its caller sent.
+func (l *ledger) addUnrequested(r *run, text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.history.unasked = append(r.history.unasked, text)
+	r.history.unrequested = append(r.history.unrequested, text)
 }
 
 // close records the answer to a request. A history that was judged before is judged again.
@@ -106,7 +106,7 @@
 func (l *ledger) end(text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addViolation(violation{RuleEnded, text})
+	l.addViolation(violation{RuleNodeEnded, text})
 }
 
 // addViolation reports a broken rule. The caller holds the lock.
@@ -142,7 +142,7 @@
 		_, _ = fmt.Fprintf(w, "%s=%d\n", k, l.counts[k])
 	}
 	_, _ = fmt.Fprintf(w, "runs=%d\n", l.runs)
-	for _, r := range []Rule{RuleMixed, RuleTwice, RuleUnasked, RuleRefused, RuleRepeated, RuleEnded} {
+	for _, r := range []Rule{RuleWrongResponse, RuleRunTwice, RuleUnrequested, RuleFalseRefusal, RuleRepeatedAtUpstream, RuleNodeEnded} {
 		_, _ = fmt.Fprintf(w, "violations-%s=%d\n", r, l.violations[r])
 	}
 	return l.violations
--- a/internal/standin/stutterer/upstreamconn.go
+++ b/internal/standin/stutterer/upstreamconn.go
@@ -72,7 +72,7 @@
 	}
 	origin := r.Header.Get(wire.CallerService)
 	if err != nil || origin != run.history.origin || !bytes.Equal(body, repeat(id, len(body))) {
-		l.addUnasked(run, fmt.Sprintf("it came with %v and a body of %d bytes", r.Header, len(body)))
+		l.addUnrequested(run, fmt.Sprintf("it came with %v and a body of %d bytes", r.Header, len(body)))
 	}
 	seed := u.vm.soak.config.Seed
 	d := &drawer{chances: u.vm.soak.config.Chances, random: rand.New(rand.NewPCG(seed, xxhash.Sum64String(id)+uint64(ordinal)))}
--- a/test/stutter_test.go
+++ b/test/stutter_test.go
@@ -22,7 +22,7 @@
 	t.Log(output.String())
 	qt.Assert(t, err, qt.IsNil)
 	// Reported on its own: a request that ran twice at one upstream.
-	qt.Check(t, found[stutterer.RuleRepeated], qt.Equals, 0)
-	delete(found, stutterer.RuleRepeated)
+	qt.Check(t, found[stutterer.RuleRepeatedAtUpstream], qt.Equals, 0)
+	delete(found, stutterer.RuleRepeatedAtUpstream)
 	qt.Check(t, found, qt.HasLen, 0)
 }
