Forwarder: a response with a line that is no field is malformed

What callers saw: a success, sealed, from a response whose head held a line that is no field, a name with a blank or a value with a control byte. The line was passed on as another field ("X A: b" as "X: b", " X-A: b" as "X-A: b"); where it would have stated the length ("Content Length: 5", "Transfer Encoding: chunked"), the body was everything up to the end of the connection.

Cause: nbhttp's parser, which read the heads of responses, ends a name at its first blank and skips what follows up to the colon, skips blanks at the beginning of a line, and allows control bytes in values. Read in its source; no setting changes it. The same reader serves responses of upstreams and of other nodes, interim ones too.

Change: the new package parser parses heads of responses line by line as they arrive: a token, a colon, a value without control bytes (RFC 9110, 5.5; RFC 9112, 5), checked by golang.org/x/net's httpguts. Any other line is malformed, so the connection is closed, and the call is retried if it is idempotent and else refused with its outcome unknown, as after a lost connection. It can't be taken for a response, since nothing of a head is passed on before its last line has been checked. The reader's callbacks for requests, the heads of responses and the bodies have a file each; the chunk decoder and the search for status lines move to parser unchanged. golang.org/x/net was an indirect requirement.

Evidence: TestMalformedResponsesOfUpstreams and ...OfNodes, TestMalformedResponseIsRetried and ...OnKeptConnection on real connections to the new stand-in corrupter, whole and byte by byte.

--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+	"github.com/tamarackpitch/tamarackpitch/internal/parser"
 )
 
 // maxBufferedResponseBytes is the longest response body that is buffered before any of it is sent to the caller. If
@@ -61,7 +62,7 @@
 	if id == "" {
 		return false
 	}
-	rest, found := afterStatusLine(body)
+	rest, found := parser.AfterStatusLine(body)
 	return found && bytes.Contains(rest, []byte(id))
 }
 
--- /dev/null
+++ b/internal/forwarder/malformedresponse_test.go
@@ -0,0 +1,140 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/corrupter"
+)
+
+const (
+	// okLine begins a response, and sealedFields are the fields that make it valid as the response to the call with the ID 1.
+	okLine       = "HTTP/1.1 200 OK\r\n"
+	sealedFields = "X-Seal: s\r\nX-Id: 1\r\n"
+	// fiveBytes ends a head and is followed by the body that it states.
+	fiveBytes = "Content-Length: 5\r\n\r\nhello"
+)
+
+// malformedResponses returns responses that break the grammar, by kind.
+func malformedResponses() map[string][]corrupter.Response {
+	c := corrupter.New(corrupter.Config{Fields: sealedFields, Body: "hello"})
+	return map[string][]corrupter.Response{"field": c.Fields(), "interim response": c.InterimResponses()}
+}
+
+// writeModes are how a stand-in writes a response: in one piece or byte by byte.
+var writeModes = map[string]func(w io.Writer, text string){
+	"whole": func(w io.Writer, text string) { _, _ = io.WriteString(w, text) },
+	"byte by byte": func(w io.Writer, text string) {
+		for i := range len(text) {
+			_, _ = io.WriteString(w, text[i:i+1])
+		}
+	},
+}
+
+// forEachMalformed runs a test for each malformed response and way of writing it.
+func forEachMalformed(t *testing.T, test func(t *testing.T, text string, write func(io.Writer, string))) {
+	for kind, responses := range malformedResponses() {
+		for mode, write := range writeModes {
+			t.Run(kind+"/"+mode, func(t *testing.T) {
+				for _, m := range responses {
+					t.Run(m.Name, func(t *testing.T) { test(t, m.Text, write) })
+				}
+			})
+		}
+	}
+}
+
+// assertRefused checks that a call got a failure of the node's own: not the status, the seal or the body of the upstream's
+// response.
+func assertRefused(t *testing.T, r reply) {
+	t.Helper()
+	qt.Assert(t, r.err, qt.IsNil)
+	qt.Assert(t, r.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%+v", r))
+	qt.Assert(t, r.run, qt.Equals, "unknown")
+	qt.Assert(t, r.header.Get("X-Seal"), qt.Equals, "")
+	qt.Assert(t, r.body, qt.Not(qt.Contains), "hello")
+}
+
+// TestMalformedResponsesOfUpstreams lets an upstream send responses that break the grammar: the caller must get none of them,
+// and the payment must not run again.
+func TestMalformedResponsesOfUpstreams(t *testing.T) {
+	forEachMalformed(t, func(t *testing.T, text string, write func(io.Writer, string)) {
+		entry := newNodeWith(t, "entry", sealedDialect())
+		u := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+			c := hijack(w)
+			write(c, text)
+			_ = c.Close()
+		})
+		entry.publish(snapshotConfig{endpoints: entry.endpoints("v1"), local: u.local("v1"), timeoutMs: 2000})
+		assertRefused(t, do("POST", entry.url("/post"), "pay", "X-Id", "1"))
+		qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+	})
+}
+
+// TestMalformedResponsesOfNodes lets another node send responses that break the grammar.
+func TestMalformedResponsesOfNodes(t *testing.T) {
+	forEachMalformed(t, func(t *testing.T, text string, write func(io.Writer, string)) {
+		entry := newNodeWith(t, "entry", sealedDialect())
+		p := newScriptedPeer(t, func(operation string, w net.Conn) bool {
+			if operation == "claim" {
+				return refuse(w, http.StatusBadGateway, "answer-lost", "unknown")
+			}
+			write(w, text)
+			return false
+		})
+		entry.publish(snapshotConfig{endpoints: []*balancer.Endpoint{endpoint("peer", "v1", p.address)}, timeoutMs: 2000})
+		assertRefused(t, do("POST", entry.url("/post"), "pay", "X-Id", "1"))
+	})
+}
+
+// TestMalformedResponseIsRetried lets one of two upstreams send a malformed response to an idempotent call: the caller must
+// get the response of the other one.
+func TestMalformedResponseIsRetried(t *testing.T) {
+	entry, p, u := withPeer(t, func(_ string, w net.Conn) bool {
+		_, _ = io.WriteString(w, okLine+"Content-Length : 5\r\n\r\nhello")
+		return false
+	})
+	r := do("GET", entry.url("/get"), "")
+	qt.Assert(t, r.err, qt.IsNil)
+	qt.Assert(t, r.body, qt.Equals, "fallback")
+	qt.Assert(t, p.operations(), qt.DeepEquals, []string{"call"})
+	qt.Assert(t, u.runs.Load(), qt.Equals, int64(1))
+}
+
+// TestMalformedResponseOnKeptConnection sends a malformed response to the second call on a kept connection, which stays open:
+// the caller must be told at once, and the third call must get its own response.
+func TestMalformedResponseOnKeptConnection(t *testing.T) {
+	for _, malformed := range []string{okLine + sealedFields + "Content-Length : 5\r\n\r\nhello",
+		okLine + sealedFields + "no field\r\n" + fiveBytes} {
+		t.Run(fmt.Sprintf("%.60q", malformed), func(t *testing.T) {
+			n := newNodeWith(t, "entry", sealedDialect())
+			publishOneConnection(t, n, func(c net.Conn) {
+				defer func() { _ = c.Close() }()
+				input := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(input)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					id := r.Header.Get("X-Id")
+					if id == "1" {
+						_, _ = io.WriteString(c, malformed)
+						continue
+					}
+					_, _ = io.WriteString(c, okLine+"X-Seal: s\r\nX-Id: "+id+"\r\nContent-Length: 2\r\n\r\n#"+id)
+				}
+			})
+			qt.Assert(t, do("POST", n.url("/post"), "", "X-Id", "0").body, qt.Equals, "#0")
+			assertRefused(t, do("POST", n.url("/post"), "", "X-Id", "1"))
+			qt.Assert(t, do("POST", n.url("/post"), "", "X-Id", "2").body, qt.Equals, "#2")
+		})
+	}
+}
--- a/internal/forwarder/readercallbacks.go
+++ b/internal/forwarder/requesthead.go
@@ -7,7 +7,57 @@
 	"github.com/lesismal/nbio/nbhttp"
 )
 
-// The methods in this file implement nbhttp.Processor and nbhttp.ParserCloser.
+// The exported methods in this file implement nbhttp.Processor and nbhttp.ParserCloser.
+
+// feedRequests parses bytes read from the connection. nbhttp's parser passes a head on at its last carriage return. A
+// carriage return at the end of the input is therefore held back until more follows, so that a head without its last line
+// feed, which is truncated, is not taken for a complete one.
+func (r *reader) feedRequests(data []byte) error {
+	if r.heldCR {
+		r.heldCR = false
+		data = append([]byte{'\r'}, data...)
+	}
+	if n := len(data) - 1; n >= 0 && data[n] == '\r' {
+		if err := r.feedParts(data[:n]); err != nil {
+			return err
+		}
+		if r.message != nil && !r.inBody {
+			r.heldCR = true
+			return nil
+		}
+		data = data[n:]
+	}
+	return r.feedParts(data)
+}
+
+// feedRequestHead passes input to nbhttp's parser, which parses heads and short bodies. It returns what Parse has taken.
+func (r *reader) feedRequestHead(data []byte) (rest []byte, err error) {
+	if !r.inBody {
+		if r.message != nil && r.message.receivedBytes > maxHeaderBytes {
+			return nil, &Error{Operation: "parse", Kind: KindTooLarge, Detail: "header"}
+		}
+		r.countHeadBytes(len(data))
+	}
+	err = r.requests.Parse(data)
+	switch {
+	case r.err != nil:
+		return nil, r.err
+	case err != nil:
+		return nil, &Error{Operation: "parse", Kind: KindMalformed, Detail: err.Error()}
+	}
+	rest = r.leftover
+	r.leftover = nil
+	return rest, nil
+}
+
+// countHeadBytes counts the received bytes of an incomplete head, so that feedRequestHead also limits a head that arrives
+// without one complete line.
+func (r *reader) countHeadBytes(n int) {
+	if r.message == nil {
+		r.message = &message{length: -1}
+	}
+	r.message.receivedBytes += n
+}
 
 // OnMethod starts a request: the method is its first part.
 func (r *reader) OnMethod(_ *nbhttp.Parser, method string) {
@@ -29,11 +79,8 @@
 	return nil
 }
 
-// OnProto sets the protocol version. It starts a response, of which the version is the first part.
+// OnProto sets the protocol version.
 func (r *reader) OnProto(_ *nbhttp.Parser, proto string) error {
-	if r.client {
-		r.startMessage()
-	}
 	if proto != "HTTP/1.1" && proto != "HTTP/1.0" {
 		return &Error{Operation: "parse", Kind: KindMalformed, Detail: "protocol " + proto}
 	}
@@ -41,15 +88,8 @@
 	return nil
 }
 
-// OnStatus sets the status code and reason phrase of a response.
-func (r *reader) OnStatus(_ *nbhttp.Parser, code int, status string) {
-	if strings.Contains(status, ": ") {
-		// If the reason phrase is missing, the parser mistakes the first header line for it.
-		r.fail(KindMalformed, "status line without a reason phrase")
-	}
-	r.message.status = code
-	r.message.reason = status
-}
+// OnStatus does nothing: requests have no status.
+func (r *reader) OnStatus(_ *nbhttp.Parser, _ int, _ string) {}
 
 // OnHeader adds a header field.
 func (r *reader) OnHeader(_ *nbhttp.Parser, key, value string) {
@@ -94,45 +134,26 @@
 		return
 	}
 	m.length = int64(length)
-	if !m.chunked && length < 0 && !r.client {
+	if !m.chunked && length < 0 {
 		m.length = 0
 	}
-	if bypass, length := r.rawBodyLength(m); bypass {
-		r.bypassed = true
-		r.remaining = length
-		r.collects = r.client && length > 0 && length <= maxBufferedBodyBytes
-		if m.chunked && length == lengthChunked {
-			r.chunks = &chunkDecoder{}
-		}
-		p.ParserCloser = r
-	}
-	if r.client {
-		// Parse passes the head on.
-		return
+	switch {
+	case m.chunked:
+		r.bypass(p, lengthChunked)
+	case m.length > maxBufferedBodyBytes:
+		r.bypass(p, m.length)
 	}
-	r.passHead()
-}
-
-// passHead passes on a complete head.
-func (r *reader) passHead() {
 	r.inBody = true
-	if r.err = r.handler.onHead(r.message); r.err != nil {
+	if r.err = r.handler.onHead(m); r.err != nil {
 		r.bypassed = false
 	}
 }
 
-// rawBodyLength reports whether the reader decodes the body in place of the parser, and the body's length,
-// lengthCloseDelimited or lengthChunked.
-func (r *reader) rawBodyLength(m *message) (bypass bool, length int64) {
-	switch {
-	case r.client && (r.handler.isHead() || bodyless(m.status)):
-		return true, 0
-	case m.chunked:
-		return true, lengthChunked
-	case r.client && m.length < 0:
-		return true, lengthCloseDelimited
-	}
-	return r.client || m.length > maxBufferedBodyBytes, m.length
+// bypass has the reader decode the body in place of nbhttp's parser. length is the body's length or lengthChunked.
+func (r *reader) bypass(p *nbhttp.Parser, length int64) {
+	r.bypassed = true
+	r.startBody(length)
+	p.ParserCloser = r
 }
 
 // OnBody passes on a body that the parser has buffered.
@@ -167,29 +188,12 @@
 		if data[0] != '\n' {
 			return &Error{Operation: "parse", Kind: KindMalformed, Detail: "no line feed after the head"}
 		}
-		if r.client {
-			r.passResponseHead(len(data))
-		}
 		data = data[1:]
 	}
 	r.leftover = append([]byte(nil), data...)
 	return nil
 }
 
-// passResponseHead passes on a response head unless it contains the beginning of another one. rest is the length of the
-// input that follows the head.
-func (r *reader) passResponseHead(rest int) {
-	head := r.input[:max(len(r.input)-rest, 0)]
-	if len(r.head) > 0 {
-		head = append(r.head, head...)
-	}
-	if _, found := afterStatusLine(head[min(1, len(head)):]); found {
-		r.fail(KindMalformed, "status line within a response head")
-		return
-	}
-	r.passHead()
-}
-
 // UnderlayerConn returns nil: the reader has no connection of its own.
 func (r *reader) UnderlayerConn() net.Conn { return nil }
 
--- a/internal/forwarder/chunks.go
+++ b/internal/parser/chunkdecoder.go
@@ -1,8 +1,8 @@
-package forwarder
+package parser
 
 import "math"
 
-// chunkState is a state of chunkDecoder, named after the input that it expects next.
+// chunkState is a state of ChunkDecoder, named after the input that it expects next.
 type chunkState int
 
 const (
@@ -26,8 +26,8 @@
 	maxSkippedBytes = 16 << 10
 )
 
-// chunkDecoder decodes one chunked body as it arrives, without buffering chunks. The zero value is ready to use.
-type chunkDecoder struct {
+// ChunkDecoder decodes one chunked body as it arrives, without buffering chunks. The zero value is ready to use.
+type ChunkDecoder struct {
 	state chunkState
 	// remaining is the number of bytes left in the current chunk.
 	remaining int64
@@ -36,13 +36,15 @@
 	skippedBytes int
 	// starts looks for the beginning of a response in the extensions and trailers. One there takes the place of the body's
 	// missing end.
-	starts startFinder
+	starts StartFinder
 }
 
-func (d *chunkDecoder) done() bool { return d.state == chunkDone }
+// Done reports whether the body and its trailers are complete.
+func (d *ChunkDecoder) Done() bool { return d.state == chunkDone }
 
-// decode passes the body's bytes to onBody and returns the number of input bytes consumed.
-func (d *chunkDecoder) decode(data []byte, onBody func([]byte) error) (int, error) {
+// Decode passes the body's bytes to onBody and returns the number of input bytes consumed. An error of onBody is returned as
+// it is.
+func (d *ChunkDecoder) Decode(data []byte, onBody func([]byte) error) (int, error) {
 	offset := 0
 	for offset < len(data) && d.state != chunkDone {
 		if d.state == chunkData {
@@ -64,12 +66,8 @@
 	return offset, nil
 }
 
-func malformedChunk(detail string) error {
-	return &Error{Operation: "parse", Kind: KindMalformed, Detail: "chunk: " + detail}
-}
-
 // stepFraming consumes one byte outside the chunk data.
-func (d *chunkDecoder) stepFraming(c byte) error {
+func (d *ChunkDecoder) stepFraming(c byte) error {
 	switch d.state {
 	case chunkSize:
 		return d.stepSize(c)
@@ -104,19 +102,19 @@
 	switch {
 	case d.skippedBytes > maxSkippedBytes:
 		return malformedChunk("extensions or trailers too long")
-	case d.starts.contained():
+	case d.starts.Contained():
 		return malformedChunk("response within extensions or trailers")
 	}
 	return nil
 }
 
 // skip counts and examines a byte of an extension or a trailer.
-func (d *chunkDecoder) skip(c byte) {
+func (d *ChunkDecoder) skip(c byte) {
 	d.skippedBytes++
-	d.starts.scan([]byte{c})
+	d.starts.Scan([]byte{c})
 }
 
-func (d *chunkDecoder) expect(c, want byte, next chunkState) error {
+func (d *ChunkDecoder) expect(c, want byte, next chunkState) error {
 	if c != want {
 		return malformedChunk("line end expected")
 	}
@@ -125,14 +123,14 @@
 }
 
 // afterSize returns the state after the line with a chunk's size. A size of zero ends the body.
-func (d *chunkDecoder) afterSize() chunkState {
+func (d *ChunkDecoder) afterSize() chunkState {
 	if d.remaining == 0 {
 		return chunkTrailer
 	}
 	return chunkData
 }
 
-func (d *chunkDecoder) stepSize(c byte) error {
+func (d *ChunkDecoder) stepSize(c byte) error {
 	digit := hexDigit(c)
 	switch {
 	case digit >= 0:
--- a/internal/forwarder/chunks_test.go
+++ b/internal/parser/chunkdecoder_test.go
@@ -1,4 +1,4 @@
-package forwarder
+package parser
 
 import (
 	"bytes"
@@ -11,10 +11,10 @@
 
 // decodeInPieces feeds a body to a decoder in pieces of a size.
 func decodeInPieces(body []byte, size int) (decoded []byte, done bool, err error) {
-	d := &chunkDecoder{}
-	for len(body) > 0 && !d.done() {
+	d := &ChunkDecoder{}
+	for len(body) > 0 && !d.Done() {
 		piece := body[:min(size, len(body))]
-		n, err := d.decode(piece, func(b []byte) error {
+		n, err := d.Decode(piece, func(b []byte) error {
 			decoded = append(decoded, b...)
 			return nil
 		})
@@ -23,7 +23,7 @@
 		}
 		body = body[n:]
 	}
-	return decoded, d.done(), nil
+	return decoded, d.Done(), nil
 }
 
 // FuzzChunks checks that the decoder's result does not depend on how the input is split, and that a body which both
--- /dev/null
+++ b/internal/parser/head.go
@@ -0,0 +1,123 @@
+package parser
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// LengthUnstated is the value of Head.Length if the head states none.
+const LengthUnstated = -1
+
+const (
+	protocol10 = "HTTP/1.0"
+	protocol11 = "HTTP/1.1"
+
+	keyContentLength    = "Content-Length"
+	keyTransferEncoding = "Transfer-Encoding"
+	encodingChunked     = "chunked"
+)
+
+// Head is the head of a response.
+type Head struct {
+	// Proto is "HTTP/1.1" or "HTTP/1.0".
+	Proto  string
+	Status int
+	// Reason is not empty.
+	Reason string
+	// Fields are in the order of their arrival, at most MaxFields.
+	Fields []Field
+	// Length is the length of the body in bytes, or LengthUnstated. It is LengthUnstated if Chunked is set.
+	Length int64
+	// Chunked reports whether the body is sent in chunks.
+	Chunked bool
+}
+
+// Interim reports whether the response is an interim one (1xx), which another response follows.
+func (h *Head) Interim() bool { return h.Status < http.StatusOK }
+
+// Bodyless reports whether responses with the status never have a body.
+func (h *Head) Bodyless() bool {
+	return h.Interim() || h.Status == http.StatusNoContent || h.Status == http.StatusNotModified
+}
+
+// setStatusLine parses the status line: version, blank, status code, blank, and a reason phrase (RFC 9112, section 4).
+func (h *Head) setStatusLine(line string) error {
+	version, rest, _ := strings.Cut(line, " ")
+	if version != protocol11 && version != protocol10 {
+		return malformedHead("protocol version")
+	}
+	code, reason, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil {
+		return malformedHead("status code")
+	}
+	if reason == "" {
+		return malformedHead("reason phrase")
+	}
+	h.Proto, h.Status, h.Reason = version, status, reason
+	return nil
+}
+
+// addField adds a header field.
+func (h *Head) addField(f Field) error {
+	if len(h.Fields) >= MaxFields {
+		return &Error{Operation: "parse head", Kind: KindTooLarge, Detail: "too many fields"}
+	}
+	h.Fields = append(h.Fields, f)
+	return nil
+}
+
+// setBody determines from the fields how the body is framed (RFC 9112, section 6). A head that contradicts itself is
+// malformed, since another reader may take another length from it.
+func (h *Head) setBody() error {
+	h.Length = LengthUnstated
+	for _, f := range h.Fields {
+		var err error
+		switch f.Key {
+		case keyContentLength:
+			err = h.addLength(f.Value)
+		case keyTransferEncoding:
+			err = h.addEncoding(f.Value)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	switch {
+	case h.Chunked && h.Length != LengthUnstated:
+		return malformedHead("both Content-Length and Transfer-Encoding")
+	}
+	return nil
+}
+
+// addLength takes a value of Content-Length. Further ones must state the same length.
+func (h *Head) addLength(value string) error {
+	length, ok := parseLength(value)
+	if !ok {
+		return malformedHead("Content-Length")
+	}
+	if h.Length != LengthUnstated && h.Length != length {
+		return malformedHead("conflicting Content-Length fields")
+	}
+	h.Length = length
+	return nil
+}
+
+// addEncoding takes a value of Transfer-Encoding. Only the chunked encoding is supported, once.
+func (h *Head) addEncoding(value string) error {
+	if h.Chunked || !strings.EqualFold(value, encodingChunked) {
+		return malformedHead("Transfer-Encoding")
+	}
+	h.Chunked = true
+	return nil
+}
+
+// parseLength parses a length in bytes. An empty value states none.
+func parseLength(value string) (length int64, ok bool) {
+	if value == "" {
+		return LengthUnstated, true
+	}
+	length, err := strconv.ParseInt(value, 10, 64)
+	return length, err == nil && length >= 0
+}
--- /dev/null
+++ b/internal/parser/statusline.go
@@ -0,0 +1,28 @@
+package parser
+
+import "bytes"
+
+const (
+	// ProtocolPrefix begins each response.
+	ProtocolPrefix = "HTTP/1."
+	// statusLineBytes is the length of a status line up to its status code: "HTTP/1.1 200".
+	statusLineBytes = len(ProtocolPrefix) + len("1 200")
+)
+
+// AfterStatusLine returns what follows the first status code in b that is part of a status line. If a response's head has
+// one after its own, an incomplete response lies before the complete one, and the status and header fields may belong to
+// the former.
+func AfterStatusLine(b []byte) (rest []byte, found bool) {
+	for {
+		i := bytes.Index(b, []byte(ProtocolPrefix))
+		if i < 0 || len(b) < i+statusLineBytes {
+			return nil, false
+		}
+		b = b[i+len(ProtocolPrefix):]
+		if (b[0] == '0' || b[0] == '1') && b[1] == ' ' && isDigit(b[2]) && isDigit(b[3]) && isDigit(b[4]) {
+			return b[5:], true
+		}
+	}
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
