Forwarder: a Content-Length consists of digits only

What callers saw: a complete, sealed success from a response whose head was spoilt where it tells the length of the body. With "+5" and "-0" the body was cut to what other readers may not take for its length; with an empty value it was everything up to the end of the connection, so that a body broken off on the way looked complete.

Cause: lengths were parsed as signed numbers, by nbhttp and in its stead, and a field without a value counted as none. So a head that states a length nobody can rely on was taken for one that states a plain or no length.

Change: a length is one or more digits (RFC 9110, 8.6). Anything else in a Content-Length field makes the head malformed, like fields that contradict each other before; leading zeros and repetitions of the same length stay valid. The caller gets no part of the response, since the length is checked before the head is passed on.

Other forms, as "5x", "5,5", "5, 6", two different lengths, or a length beside Transfer-Encoding, were refused before; their tests stay.

--- a/internal/forwarder/malformedresponse_test.go
+++ b/internal/forwarder/malformedresponse_test.go
@@ -25,7 +25,7 @@
 // malformedResponses returns responses that break the grammar, by kind.
 func malformedResponses() map[string][]corrupter.Response {
 	c := corrupter.New(corrupter.Config{Fields: sealedFields, Body: "hello"})
-	return map[string][]corrupter.Response{"field": c.Fields(), "interim response": c.InterimResponses()}
+	return map[string][]corrupter.Response{"field": c.Fields(), "length": c.Lengths(), "interim response": c.InterimResponses()}
 }
 
 // writeModes are how a stand-in writes a response: in one piece or byte by byte.
--- a/internal/parser/head.go
+++ b/internal/parser/head.go
@@ -113,11 +113,11 @@
 	return nil
 }
 
-// parseLength parses a length in bytes. An empty value states none.
+// parseLength parses a length in bytes, which consists of digits only.
 func parseLength(value string) (length int64, ok bool) {
-	if value == "" {
-		return LengthUnstated, true
+	if !isDigits(value) {
+		return 0, false
 	}
 	length, err := strconv.ParseInt(value, 10, 64)
-	return length, err == nil && length >= 0
+	return length, err == nil
 }
--- a/internal/parser/statusline.go
+++ b/internal/parser/statusline.go
@@ -26,3 +26,13 @@
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// isDigits reports whether a text consists of one or more digits.
+func isDigits(s string) bool {
+	for i := range len(s) {
+		if !isDigit(s[i]) {
+			return false
+		}
+	}
+	return s != ""
+}
