Forwarder: a status line has three digits of a known class

What callers saw: the answers 600 and 999, sealed, from an upstream whose status line was spoilt; 200 from "2000", "0200", "x200", a zero byte before 200, "+200" and "-200"; and a reason phrase with control bytes or a line feed, behind which a field could follow that the next reader takes for one. A status of 000 or 099 was taken for an interim response: a head of it before a valid response was dropped silently, and one that nothing followed left the call waiting until the connection ended or its deadline passed.

Cause: nbhttp's parser skips what is no digit before a status code, takes any number of digits and any byte as a reason phrase, and the reader took all numbers below 200 for interim responses.

Change: a status code is three digits between 100 and 599 (RFC 9110, 15), a reason phrase has no control bytes (RFC 9112, 4). A switch of protocols (101), which no request asks for, is refused in the same place instead of in clientConn. Since the head is malformed, the call ends as after a lost connection, at once.

--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -59,9 +59,6 @@
 	if c.attempt == nil {
 		return &Error{Operation: "read", Kind: KindMalformed, Detail: "response without a request"}
 	}
-	if m.status == 101 {
-		return &Error{Operation: "read", Kind: KindMalformed, Detail: "unrequested protocol switch"}
-	}
 	if m.status < 200 {
 		c.response = nil
 		return c.attempt.onInterim(m)
--- a/internal/forwarder/malformedresponse_test.go
+++ b/internal/forwarder/malformedresponse_test.go
@@ -25,7 +25,8 @@
 // malformedResponses returns responses that break the grammar, by kind.
 func malformedResponses() map[string][]corrupter.Response {
 	c := corrupter.New(corrupter.Config{Fields: sealedFields, Body: "hello"})
-	return map[string][]corrupter.Response{"field": c.Fields(), "length": c.Lengths(), "interim response": c.InterimResponses()}
+	return map[string][]corrupter.Response{"field": c.Fields(), "length": c.Lengths(), "status line": c.StatusLines(),
+		"interim response": c.InterimResponses()}
 }
 
 // writeModes are how a stand-in writes a response: in one piece or byte by byte.
@@ -111,7 +112,7 @@
 // TestMalformedResponseOnKeptConnection sends a malformed response to the second call on a kept connection, which stays open:
 // the caller must be told at once, and the third call must get its own response.
 func TestMalformedResponseOnKeptConnection(t *testing.T) {
-	for _, malformed := range []string{okLine + sealedFields + "Content-Length : 5\r\n\r\nhello",
+	for _, malformed := range []string{"HTTP/1.1 000 OK\r\n" + sealedFields + fiveBytes, okLine + sealedFields + "Content-Length : 5\r\n\r\nhello",
 		okLine + sealedFields + "no field\r\n" + fiveBytes} {
 		t.Run(fmt.Sprintf("%.60q", malformed), func(t *testing.T) {
 			n := newNodeWith(t, "entry", sealedDialect())
--- a/internal/parser/head.go
+++ b/internal/parser/head.go
@@ -21,7 +21,8 @@
 // Head is the head of a response.
 type Head struct {
 	// Proto is "HTTP/1.1" or "HTTP/1.0".
-	Proto  string
+	Proto string
+	// Status is between 100 and 599, and not 101.
 	Status int
 	// Reason is not empty.
 	Reason string
@@ -48,11 +49,11 @@
 		return malformedHead("protocol version")
 	}
 	code, reason, _ := strings.Cut(rest, " ")
-	status, err := strconv.Atoi(code)
-	if err != nil {
+	status, ok := parseStatus(code)
+	if !ok {
 		return malformedHead("status code")
 	}
-	if reason == "" {
+	if reason == "" || !validReason(reason) {
 		return malformedHead("reason phrase")
 	}
 	h.Proto, h.Status, h.Reason = version, status, reason
--- a/internal/parser/statusline.go
+++ b/internal/parser/statusline.go
@@ -1,14 +1,38 @@
 package parser
 
-import "bytes"
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 const (
 	// ProtocolPrefix begins each response.
 	ProtocolPrefix = "HTTP/1."
+	// statusDigits is the length of a status code.
+	statusDigits = 3
 	// statusLineBytes is the length of a status line up to its status code: "HTTP/1.1 200".
-	statusLineBytes = len(ProtocolPrefix) + len("1 200")
+	statusLineBytes = len(ProtocolPrefix) + len("1 ") + statusDigits
+
+	minStatus = 100
+	maxStatus = 599
 )
 
+// parseStatus parses a status code: three digits that name one of the five classes (RFC 9110, section 15). A switch of
+// protocols answers no request, since none asks for it.
+func parseStatus(code string) (status int, ok bool) {
+	if len(code) != statusDigits || !isDigits(code) {
+		return 0, false
+	}
+	status, err := strconv.Atoi(code)
+	return status, err == nil && status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
+// validReason reports whether a reason phrase is valid. It may consist of the bytes of which field values do.
+func validReason(reason string) bool { return httpguts.ValidHeaderFieldValue(reason) }
+
 // AfterStatusLine returns what follows the first status code in b that is part of a status line. If a response's head has
 // one after its own, an incomplete response lies before the complete one, and the status and header fields may belong to
 // the former.
