Forwarder: an empty reason phrase is valid

What callers saw: 502 for a valid response whose status line ends behind the blank that follows the code ("HTTP/1.1 200 "), or, if the next field had no blank behind its colon, that field as the reason phrase and a body up to the end of the connection.

Cause: nbhttp's parser takes the first line behind an empty reason phrase for the phrase; the reader noticed that by ": " in it and refused the response. The new parser kept the refusal.

Change: the reason phrase may be empty (RFC 9112, 4), the blank before it not be missing.

--- a/internal/forwarder/malformedresponse_test.go
+++ b/internal/forwarder/malformedresponse_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -139,3 +140,46 @@
 		})
 	}
 }
+
+// TestUnusualResponses lets an upstream send responses that are rare and valid: the caller must get them.
+func TestUnusualResponses(t *testing.T) {
+	for mode, write := range writeModes {
+		for _, test := range []struct {
+			text   string
+			status int
+			body   string
+		}{
+			{"HTTP/1.1 200 \r\n" + sealedFields + fiveBytes, 200, "hello"},
+			{"HTTP/1.1 200 \r\nContent-Length:5\r\n" + sealedFields + "\r\nhello", 200, "hello"},
+			{"HTTP/1.1 200 201 Tr\xe8s bien\t(yes): \"all\"\r\n" + sealedFields + fiveBytes, 200, "hello"},
+			{"HTTP/1.1 299 Other\r\n" + sealedFields + fiveBytes, 299, "hello"},
+			{"HTTP/1.1 599 Other\r\n" + sealedFields + fiveBytes, 599, "hello"},
+			{"HTTP/1.0 200 OK\r\n" + sealedFields + "\r\nhello", 200, "hello"},
+			{"HTTP/1.0 200 OK\r\n" + sealedFields + fiveBytes, 200, "hello"},
+			{okLine + sealedFields + "\r\nhello", 200, "hello"},
+			{okLine + "x-seal:s\r\nX-ID:1\r\ncontent-length:5\r\n\r\nhello", 200, "hello"},
+			{okLine + sealedFields + "Content-Length:\t 005 \t\r\n\r\nhello", 200, "hello"},
+			{okLine + sealedFields + "Content-Length: 5\r\n" + fiveBytes, 200, "hello"},
+			{okLine + sealedFields + "X-Empty:\r\nX-Blank: \t \r\nX!#$%&'*+-.^_`|~1: a\xff:\t\"b\"\r\n" + fiveBytes, 200, "hello"},
+			{okLine + sealedFields + strings.Repeat("X-A: b\r\n", 100) + fiveBytes, 200, "hello"},
+			{okLine + sealedFields + "transfer-encoding:\tChunked \r\n\r\n5\r\nhello\r\n0\r\n\r\n", 200, "hello"},
+			{okLine + sealedFields + "Transfer-Encoding: chunked\r\n\r\n2;a=\"\xe8 b\";c\r\nhe\r\n03 \t\r\nllo\r\n000 ;x\r\nX-A: b\r\nX-B:\r\nX-C:\ta\xff\t\r\n\r\n", 200, "hello"},
+			{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \r\nLink: a\r\nContent-Length: 0\r\n\r\n" + okLine + sealedFields + fiveBytes, 200, "hello"},
+			{"HTTP/1.1 204 No Content\r\n" + sealedFields + "Content-Length: 0\r\n\r\n", 204, ""},
+			{"HTTP/1.1 304 Not Modified\r\n" + sealedFields + "Content-Length: 5\r\n\r\n", 304, ""},
+		} {
+			t.Run(fmt.Sprintf("%s/%q", mode, test.text), func(t *testing.T) {
+				entry := sealedMesh(t, 20_000, func(w http.ResponseWriter, _ *http.Request) {
+					c := hijack(w)
+					write(c, test.text)
+					_ = c.Close()
+				})
+				r := do("POST", entry.url("/post"), "pay", "X-Id", "1")
+				qt.Assert(t, r.err, qt.IsNil)
+				qt.Assert(t, r.status, qt.Equals, test.status, qt.Commentf("%+v", r))
+				qt.Assert(t, r.body, qt.Equals, test.body)
+				qt.Assert(t, r.header.Get("X-Seal"), qt.Equals, "s")
+			})
+		}
+	}
+}
--- a/internal/parser/head.go
+++ b/internal/parser/head.go
@@ -24,7 +24,7 @@
 	Proto string
 	// Status is between 100 and 599, and not 101.
 	Status int
-	// Reason is not empty.
+	// Reason may be empty.
 	Reason string
 	// Fields are in the order of their arrival, at most MaxFields.
 	Fields []Field
@@ -42,18 +42,19 @@
 	return h.Interim() || h.Status == http.StatusNoContent || h.Status == http.StatusNotModified
 }
 
-// setStatusLine parses the status line: version, blank, status code, blank, and a reason phrase (RFC 9112, section 4).
+// setStatusLine parses the status line: version, blank, status code, blank, and a reason phrase, which may be empty
+// (RFC 9112, section 4).
 func (h *Head) setStatusLine(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
 	if version != protocol11 && version != protocol10 {
 		return malformedHead("protocol version")
 	}
-	code, reason, _ := strings.Cut(rest, " ")
+	code, reason, found := strings.Cut(rest, " ")
 	status, ok := parseStatus(code)
-	if !ok {
+	if !found || !ok {
 		return malformedHead("status code")
 	}
-	if reason == "" || !validReason(reason) {
+	if !validReason(reason) {
 		return malformedHead("reason phrase")
 	}
 	h.Proto, h.Status, h.Reason = version, status, reason
