Forwarder: no head states a body that its response can't have

What callers saw: 204 with a Content-Length of 5, sealed and without a body, from which a caller that goes by the length waits for a body or takes the next response for it; 204 and an interim response with a chunked body, whose chunks were then taken for surplus bytes or for the next response; and a chunked body from an upstream that speaks HTTP/1.0, which has no chunks.

Cause: the body's framing was derived from the status first and from the fields after that, and a contradiction between the two, or between the fields and the protocol version, was not looked for.

Change: Transfer-Encoding in HTTP/1.0, and in interim responses and 204, and a Content-Length above 0 in these two, make the head malformed (RFC 9112, 6.1; RFC 9110, 8.6). A length of 0 stays valid there, as some servers send it, and so does any framing of 304 and of responses to HEAD, which describes the body of another response.

TestUnusualResponses has the valid forms.

--- a/internal/parser/head.go
+++ b/internal/parser/head.go
@@ -89,10 +89,20 @@
 	switch {
 	case h.Chunked && h.Length != LengthUnstated:
 		return malformedHead("both Content-Length and Transfer-Encoding")
+	case h.Chunked && h.Proto == protocol10:
+		return malformedHead("Transfer-Encoding of HTTP/1.0")
+	case h.statesImpossibleBody():
+		return malformedHead("body of a response that has none")
 	}
 	return nil
 }
 
+// statesImpossibleBody reports whether the head states a body although responses with its status neither have one nor may
+// state the length of another (RFC 9110, section 8.6; RFC 9112, section 6.1).
+func (h *Head) statesImpossibleBody() bool {
+	return (h.Interim() || h.Status == http.StatusNoContent) && (h.Chunked || h.Length > 0)
+}
+
 // addLength takes a value of Content-Length. Further ones must state the same length.
 func (h *Head) addLength(value string) error {
 	length, ok := parseLength(value)
--- a/internal/standin/corrupter/corrupter.go
+++ b/internal/standin/corrupter/corrupter.go
@@ -49,3 +49,12 @@
 func (c Corrupter) untilClose(lines string) Response {
 	return Response{Name: fmt.Sprintf("%q", lines), Text: okLine + c.config.Fields + lines + "\r\n\r\n" + c.config.Body}
 }
+
+// chunked returns a response with a body in one chunk. sizeLine ends the size of the chunk and trailers follow the last one.
+func (c Corrupter) chunked(name, start, sizeLine, trailers string) Response {
+	return Response{Name: name, Text: fmt.Sprintf("%s%sTransfer-Encoding: chunked\r\n\r\n%s\r\n%s\r\n0\r\n%s\r\n",
+		start, c.config.Fields, sizeLine, c.config.Body, trailers)}
+}
+
+// size returns the size of the body in hexadecimal digits.
+func (c Corrupter) size() string { return fmt.Sprintf("%x", len(c.config.Body)) }
--- a/internal/standin/corrupter/lengths.go
+++ b/internal/standin/corrupter/lengths.go
@@ -1,5 +1,7 @@
 package corrupter
 
+import "strings"
+
 // lengthLines are header fields that are valid, but state no length, or more than one. {length} stands for the length of the
 // body.
 var lengthLines = []string{"Content-Length:", "Content-Length: ", "Content-Length: +{length}", "Content-Length: -{length}", "Content-Length: -0",
@@ -12,11 +14,16 @@
 	"Transfer-Encoding: chunked\x0b", "Transfer-Encoding: \x00chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
 	"Transfer-Encoding: identity\r\nContent-Length: {length}", "Content-Length: {length}\r\nTransfer-Encoding: chunked"}
 
-// Lengths returns responses whose head states no length, or contradicting ones.
+// Lengths returns responses whose head states no length, contradicting ones, or one that it may not state.
 func (c Corrupter) Lengths() []Response {
 	var all []Response
 	for _, line := range lengthLines {
 		all = append(all, c.untilClose(c.fillIn(line)))
 	}
-	return append(all, Response{Name: "empty body of length -0", Text: okLine + c.config.Fields + "Content-Length: -0\r\n\r\n"})
+	const noContent = "HTTP/1.1 204 No Content\r\n"
+	return append(all,
+		Response{Name: "empty body of length -0", Text: okLine + c.config.Fields + "Content-Length: -0\r\n\r\n"},
+		c.chunked("HTTP/1.0 and chunked", strings.Replace(okLine, "1.1", "1.0", 1), c.size(), ""),
+		c.withLength("no content with a length", noContent),
+		c.chunked("no content and chunked", noContent, c.size(), ""))
 }
