Forwarder: the line with a chunk's size holds a size and extensions only

What callers saw: a success, sealed, from a chunked response with a spoilt line before a chunk: anything behind the size and a blank ("5 5", "5 x"), or control bytes and line feeds in an extension. Another reader may take another size from such a line, and another body.

Cause: behind the size's first blank or semicolon, the decoder skipped everything up to the carriage return.

Change: behind the size come blanks, then a semicolon or the end of the line; an extension has no control bytes but tabs (RFC 9112, 7.1). A response whose size line is malformed ends like a broken connection; if a part of it has been sent on, the caller's connection is aborted.

Padded sizes and extensions of TestUnusualResponses stay valid. Sizes that are none, with signs or with "0x" were refused before, as were missing line ends.

--- a/internal/forwarder/malformedresponse_test.go
+++ b/internal/forwarder/malformedresponse_test.go
@@ -27,7 +27,7 @@
 func malformedResponses() map[string][]corrupter.Response {
 	c := corrupter.New(corrupter.Config{Fields: sealedFields, Body: "hello"})
 	return map[string][]corrupter.Response{"field": c.Fields(), "length": c.Lengths(), "status line": c.StatusLines(),
-		"interim response": c.InterimResponses()}
+		"interim response": c.InterimResponses(), "chunk size": c.ChunkSizes()}
 }
 
 // writeModes are how a stand-in writes a response: in one piece or byte by byte.
--- a/internal/parser/chunkdecoder.go
+++ b/internal/parser/chunkdecoder.go
@@ -7,6 +7,7 @@
 
 const (
 	chunkSize chunkState = iota
+	chunkSizeEnd
 	chunkExtension
 	chunkSizeLF
 	chunkData
@@ -71,11 +72,10 @@
 	switch d.state {
 	case chunkSize:
 		return d.stepSize(c)
+	case chunkSizeEnd:
+		return d.stepSizeEnd(c)
 	case chunkExtension:
-		d.skip(c)
-		if c == '\r' {
-			d.state = chunkSizeLF
-		}
+		return d.stepSkipped(c, chunkSizeLF)
 	case chunkSizeLF:
 		return d.expect(c, '\n', d.afterSize())
 	case chunkDataCR:
@@ -84,34 +84,58 @@
 		d.digits = 0
 		return d.expect(c, '\n', chunkSize)
 	case chunkTrailer:
-		d.skip(c)
 		d.state = chunkTrailerLine
-		if c == '\r' {
-			d.state = chunkEnd
-		}
+		return d.stepSkipped(c, chunkEnd)
 	case chunkTrailerLine:
-		d.skip(c)
-		if c == '\r' {
-			d.state = chunkTrailerLF
-		}
+		return d.stepSkipped(c, chunkTrailerLF)
 	case chunkTrailerLF:
 		return d.expect(c, '\n', chunkTrailer)
 	case chunkEnd:
 		return d.expect(c, '\n', chunkDone)
 	}
+	return nil
+}
+
+// stepSizeEnd consumes a byte of the whitespace between a chunk's size and its extensions or the end of the line.
+func (d *ChunkDecoder) stepSizeEnd(c byte) error {
+	switch c {
+	case ' ', '\t':
+	case ';':
+		d.state = chunkExtension
+	case '\r':
+		d.state = chunkSizeLF
+		return nil
+	default:
+		return malformedChunk("bad size")
+	}
+	return d.skip(c)
+}
+
+// stepSkipped consumes a byte of an extension or a trailer. A carriage return leads to the next state.
+func (d *ChunkDecoder) stepSkipped(c byte, next chunkState) error {
 	switch {
-	case d.skippedBytes > maxSkippedBytes:
-		return malformedChunk("extensions or trailers too long")
-	case d.starts.Contained():
-		return malformedChunk("response within extensions or trailers")
+	case c == '\r':
+		d.state = next
+	case d.state == chunkExtension && isControl(c):
+		return malformedChunk("control byte in an extension")
 	}
-	return nil
+	return d.skip(c)
 }
 
+// isControl reports whether a byte may not occur in an extension or a trailer. Tabs may.
+func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
 // skip counts and examines a byte of an extension or a trailer.
-func (d *ChunkDecoder) skip(c byte) {
+func (d *ChunkDecoder) skip(c byte) error {
 	d.skippedBytes++
 	d.starts.Scan([]byte{c})
+	switch {
+	case d.skippedBytes > maxSkippedBytes:
+		return malformedChunk("extensions or trailers too long")
+	case d.starts.Contained():
+		return malformedChunk("response within extensions or trailers")
+	}
+	return nil
 }
 
 func (d *ChunkDecoder) expect(c, want byte, next chunkState) error {
@@ -144,12 +168,9 @@
 		d.remaining = d.remaining<<4 | int64(digit)
 	case d.digits == 0:
 		return malformedChunk("size expected")
-	case c == '\r':
-		d.state = chunkSizeLF
-	case c == ';' || c == ' ' || c == '\t':
-		d.state = chunkExtension
 	default:
-		return malformedChunk("bad size")
+		d.state = chunkSizeEnd
+		return d.stepSizeEnd(c)
 	}
 	return nil
 }
