Forwarder: a trailer that is no field makes a response malformed

What callers saw: a complete, sealed success from a chunked response with a spoilt line behind its last chunk: a line that is no field, a name with a blank or a control byte, a value with a control byte or a line feed. Such lines belong to no valid response, so that it can't be known where the response ends and what follows.

Cause: the decoder skipped the lines behind the last chunk up to their carriage returns, whatever they were.

Change: each trailer must be a field like those of a head (RFC 9112, 7.1.2); they are still not passed on. A control byte is refused at once. A short response is buffered, so that its caller gets 502 or the response of another upstream; a long one whose beginning has been sent is broken off.

--- a/internal/forwarder/malformedresponse_test.go
+++ b/internal/forwarder/malformedresponse_test.go
@@ -27,7 +27,7 @@
 func malformedResponses() map[string][]corrupter.Response {
 	c := corrupter.New(corrupter.Config{Fields: sealedFields, Body: "hello"})
 	return map[string][]corrupter.Response{"field": c.Fields(), "length": c.Lengths(), "status line": c.StatusLines(),
-		"interim response": c.InterimResponses(), "chunk size": c.ChunkSizes()}
+		"interim response": c.InterimResponses(), "chunk size": c.ChunkSizes(), "trailer": c.Trailers()}
 }
 
 // writeModes are how a stand-in writes a response: in one piece or byte by byte.
@@ -141,6 +141,27 @@
 	}
 }
 
+// TestLongResponseWithMalformedEnd sends a response that is too long to be buffered and malformed behind its last byte: it
+// must not look complete.
+func TestLongResponseWithMalformedEnd(t *testing.T) {
+	piece := strings.Repeat("x", 0x10000)
+	for _, trailers := range []string{"X-A : b\r\n", "no field\r\n", "X\x01A: b\r\n"} {
+		t.Run(fmt.Sprintf("%q", trailers), func(t *testing.T) {
+			entry := sealedMesh(t, 20_000, func(w http.ResponseWriter, r *http.Request) {
+				c := hijack(w)
+				_, _ = fmt.Fprintf(c, "%sX-Seal: s\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", okLine, r.Header.Get("X-Id"))
+				for range 8 {
+					_, _ = io.WriteString(c, "10000\r\n"+piece+"\r\n")
+				}
+				_, _ = io.WriteString(c, "0\r\n"+trailers+"\r\n")
+				_ = c.Close()
+			})
+			r := do("GET", entry.url("/get"), "", "X-Id", "1")
+			qt.Assert(t, r.err == nil && r.status < 300, qt.IsFalse, qt.Commentf("status %d, %d bytes", r.status, len(r.body)))
+		})
+	}
+}
+
 // TestUnusualResponses lets an upstream send responses that are rare and valid: the caller must get them.
 func TestUnusualResponses(t *testing.T) {
 	for mode, write := range writeModes {
--- a/internal/parser/chunkdecoder.go
+++ b/internal/parser/chunkdecoder.go
@@ -35,6 +35,8 @@
 	// digits is the number of digits read of the current chunk's size.
 	digits       int
 	skippedBytes int
+	// trailer holds the beginning of a trailer whose line has not ended.
+	trailer []byte
 	// starts looks for the beginning of a response in the extensions and trailers. One there takes the place of the body's
 	// missing end.
 	starts StartFinder
@@ -85,11 +87,11 @@
 		return d.expect(c, '\n', chunkSize)
 	case chunkTrailer:
 		d.state = chunkTrailerLine
-		return d.stepSkipped(c, chunkEnd)
+		return d.stepTrailer(c, chunkEnd)
 	case chunkTrailerLine:
-		return d.stepSkipped(c, chunkTrailerLF)
+		return d.stepTrailer(c, chunkTrailerLF)
 	case chunkTrailerLF:
-		return d.expect(c, '\n', chunkTrailer)
+		return d.endTrailer(c)
 	case chunkEnd:
 		return d.expect(c, '\n', chunkDone)
 	}
@@ -116,12 +118,29 @@
 	switch {
 	case c == '\r':
 		d.state = next
-	case d.state == chunkExtension && isControl(c):
-		return malformedChunk("control byte in an extension")
+	case isControl(c):
+		return malformedChunk("control byte in extensions or trailers")
 	}
 	return d.skip(c)
 }
 
+// stepTrailer consumes a byte of a trailer. A carriage return leads to the next state.
+func (d *ChunkDecoder) stepTrailer(c byte, next chunkState) error {
+	if c != '\r' {
+		d.trailer = append(d.trailer, c)
+	}
+	return d.stepSkipped(c, next)
+}
+
+// endTrailer consumes the line feed behind a trailer, which must be a field. Trailers are not passed on.
+func (d *ChunkDecoder) endTrailer(c byte) error {
+	if _, ok := parseField(string(d.trailer)); !ok {
+		return malformedChunk("trailer that is no field")
+	}
+	d.trailer = d.trailer[:0]
+	return d.expect(c, '\n', chunkTrailer)
+}
+
 // isControl reports whether a byte may not occur in an extension or a trailer. Tabs may.
 func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
 
--- a/internal/standin/corrupter/corrupter.go
+++ b/internal/standin/corrupter/corrupter.go
@@ -31,7 +31,7 @@
 // All returns the responses of all kinds, always in the same order.
 func (c Corrupter) All() []Response {
 	var all []Response
-	for _, kind := range [][]Response{c.Fields(), c.Lengths(), c.StatusLines(), c.InterimResponses(), c.ChunkSizes()} {
+	for _, kind := range [][]Response{c.Fields(), c.Lengths(), c.StatusLines(), c.InterimResponses(), c.ChunkSizes(), c.Trailers()} {
 		all = append(all, kind...)
 	}
 	return all
