Requester: malformed responses of the platform and of nodes are errors

What was seen: no caller saw it, but what decides on their calls was read from malformed responses: of the store, of our own log, and, by the operators' commands, of nodes. "Transfer-Encoding : chunked" gave 200 with the body "5\r\n[1,2]\r\n0\r\n\r\n", a line feed in the head a body with fields in it, and a length with a blank before its colon, or in a folded line, a body up to the end of the connection, which looks complete if that breaks off. The first bytes of a page of records are offsets, so that such a page would lead a reader to a wrong position.

Cause: net/http accepts names with blanks, folded lines, bare line feeds, any three digits as a status, versions up to 9.9, chunked bodies of HTTP/1.0 and control bytes in chunk extensions.

Change: the requester's connections pass what they read through the package parser, so that a read fails as soon as a response is malformed; net/http still reads it. An error of a read is one of the request, which its callers handle like a lost connection: they ask again. Nodes among themselves also speak gRPC, whose library reads its own frames.

TestUnusualResponses and TestLongResponse (20,000 chunks) show that valid ones pass, as before.

--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -45,7 +45,7 @@
 }
 
 // Requester sends each request over a new connection, so that none is sent to a process that has ended in the meantime. It
-// follows no redirects. Its methods are safe for concurrent use.
+// refuses malformed responses and follows no redirects. Its methods are safe for concurrent use.
 //
 // It does not use nbhttp's client, whose loop looks up connections by file descriptor: while a request's connection is
 // closed, an event of it that the loop has already fetched would end a new connection that got its descriptor.
@@ -56,7 +56,7 @@
 // New returns a Requester.
 func New() *Requester {
 	return &Requester{client: &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		Transport:     &http.Transport{DialContext: dialChecked, DisableKeepAlives: true, DisableCompression: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Timeout:       clientTimeout,
 	}}
