--- a/internal/standin/stutterer/drawer.go
+++ b/internal/standin/stutterer/drawer.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/corrupter"
 )
 
 // drawer draws requests, and how an upstream treats a request. What it draws depends on its source of randomness only.
@@ -88,6 +90,18 @@
 	return s
 }
 
+// malformed draws a malformed response, after which the connection ends or stays open.
+func (d *drawer) malformed(f response) script {
+	fields := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", wire.RequestID, f.id, wire.Seal, f.seal)
+	all := corrupter.New(corrupter.Config{Fields: fields, Body: string(repeat(f.seal, 1+d.random.IntN(shortBody)))}).All()
+	drawn := all[d.random.IntN(len(all))]
+	s := script{text: "malformed response: " + drawn.Name, steps: d.split([]byte(drawn.Text), 1+d.random.IntN(maxPieces))}
+	if d.hit(malformedClose) {
+		s.ending = endClose
+	}
+	return s
+}
+
 // second draws a second response after the first one of a run.
 func (d *drawer) second(r *run, first response) script {
 	delay := d.upTo(soonDelay)
--- a/internal/standin/stutterer/upstreamconn.go
+++ b/internal/standin/stutterer/upstreamconn.go
@@ -77,6 +77,13 @@
 	seed := u.vm.soak.config.Seed
 	d := &drawer{chances: u.vm.soak.config.Chances, random: rand.New(rand.NewPCG(seed, xxhash.Sum64String(id)+uint64(ordinal)))}
 	response := d.response(run, u.work(run, ordinal, d, deadline), d.length())
+	if d.hit(d.chances.Malformed) {
+		// The run keeps no seal, so that no answer with one is its response.
+		malformed := d.malformed(response)
+		l.note(run, malformed.text)
+		l.count("malformed-responses")
+		return c.play(malformed)
+	}
 	first := d.first(response)
 	l.decide(run, response.status, response.length, first.text)
 	open := c.play(first)
