--- a/test/stutter_test.go
+++ b/test/stutter_test.go
@@ -11,7 +11,7 @@
 	"github.com/tamarackpitch/tamarackpitch/internal/standin/stutterer"
 )
 
-// TestStutter runs a mesh on the users' platform, beside upstreams that respond twice, late or in part and make calls of
+// TestStutter runs a mesh on the users' platform, beside upstreams that respond twice, late, in part or malformed and make calls of
 // their own, under a little load and a few disruptions. `make stutter` runs it longer.
 func TestStutter(t *testing.T) {
 	product, err := exec.LookPath("tamarackpitch")
