--- a/internal/forwarder/malformedresponse_test.go
+++ b/internal/forwarder/malformedresponse_test.go
@@ -113,8 +113,8 @@
 // TestMalformedResponseOnKeptConnection sends a malformed response to the second call on a kept connection, which stays open:
 // the caller must be told at once, and the third call must get its own response.
 func TestMalformedResponseOnKeptConnection(t *testing.T) {
-	for _, malformed := range []string{"HTTP/1.1 000 OK\r\n" + sealedFields + fiveBytes, okLine + sealedFields + "Content-Length : 5\r\n\r\nhello",
-		okLine + sealedFields + "no field\r\n" + fiveBytes} {
+	for _, malformed := range []string{"HTTP/1.1 000 OK\r\n" + sealedFields + fiveBytes,
+		okLine + sealedFields + "Content-Length : 5\r\n\r\nhello", okLine + sealedFields + "no field\r\n" + fiveBytes} {
 		t.Run(fmt.Sprintf("%.60q", malformed), func(t *testing.T) {
 			n := newNodeWith(t, "entry", sealedDialect())
 			publishOneConnection(t, n, func(c net.Conn) {
@@ -184,8 +184,10 @@
 			{okLine + sealedFields + "X-Empty:\r\nX-Blank: \t \r\nX!#$%&'*+-.^_`|~1: a\xff:\t\"b\"\r\n" + fiveBytes, 200, "hello"},
 			{okLine + sealedFields + strings.Repeat("X-A: b\r\n", 100) + fiveBytes, 200, "hello"},
 			{okLine + sealedFields + "transfer-encoding:\tChunked \r\n\r\n5\r\nhello\r\n0\r\n\r\n", 200, "hello"},
-			{okLine + sealedFields + "Transfer-Encoding: chunked\r\n\r\n2;a=\"\xe8 b\";c\r\nhe\r\n03 \t\r\nllo\r\n000 ;x\r\nX-A: b\r\nX-B:\r\nX-C:\ta\xff\t\r\n\r\n", 200, "hello"},
-			{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \r\nLink: a\r\nContent-Length: 0\r\n\r\n" + okLine + sealedFields + fiveBytes, 200, "hello"},
+			{okLine + sealedFields + "Transfer-Encoding: chunked\r\n\r\n" +
+				"2;a=\"\xe8 b\";c\r\nhe\r\n03 \t\r\nllo\r\n000 ;x\r\nX-A: b\r\nX-B:\r\nX-C:\ta\xff\t\r\n\r\n", 200, "hello"},
+			{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \r\nLink: a\r\nContent-Length: 0\r\n\r\n" +
+				okLine + sealedFields + fiveBytes, 200, "hello"},
 			{"HTTP/1.1 204 No Content\r\n" + sealedFields + "Content-Length: 0\r\n\r\n", 204, ""},
 			{"HTTP/1.1 304 Not Modified\r\n" + sealedFields + "Content-Length: 5\r\n\r\n", 304, ""},
 		} {
