Parser: Transfer-Encoding is compared in ASCII

What callers saw: a success from a response whose Transfer-Encoding is "chunked" with the Kelvin sign (U+212A) in place of the k. Other readers know no such encoding and take the body for one that ends with the connection, chunk sizes included.

Change: the lengths in bytes are compared as well, which differ for any letter outside ASCII.

Evidence: the corrupter's responses with a line about Transfer-Encoding had a plain body, which fails as a chunk whatever the head is taken for, so that they showed little. They come with a chunk as well now.

--- a/internal/parser/head.go
+++ b/internal/parser/head.go
@@ -116,9 +116,10 @@
 	return nil
 }
 
-// addEncoding takes a value of Transfer-Encoding. Only the chunked encoding is supported, once.
+// addEncoding takes a value of Transfer-Encoding. Only the chunked encoding is supported, once. The length is compared because
+// letters outside ASCII may equal others but for their case.
 func (h *Head) addEncoding(value string) error {
-	if h.Chunked || !strings.EqualFold(value, encodingChunked) {
+	if h.Chunked || len(value) != len(encodingChunked) || !strings.EqualFold(value, encodingChunked) {
 		return malformedHead("Transfer-Encoding")
 	}
 	h.Chunked = true
--- a/internal/standin/corrupter/corrupter.go
+++ b/internal/standin/corrupter/corrupter.go
@@ -2,7 +2,10 @@
 // for a response, since another reader may take another body, other fields or another status from it.
 package corrupter
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Response is a malformed response.
 type Response struct {
@@ -44,10 +47,16 @@
 	return Response{Name: name, Text: fmt.Sprintf("%s%sContent-Length: %d\r\n\r\n%s", start, c.config.Fields, len(c.config.Body), c.config.Body)}
 }
 
-// untilClose returns a response whose head has lines besides the valid fields, and whose body seems to end with the connection
-// if these lines are ignored.
-func (c Corrupter) untilClose(lines string) Response {
-	return Response{Name: fmt.Sprintf("%q", lines), Text: okLine + c.config.Fields + lines + "\r\n\r\n" + c.config.Body}
+// framed returns responses whose heads have lines, besides the valid fields, that alone frame the body: one whose body is sent as
+// it is, and one whose body is sent in a chunk if the lines name that encoding. The body seems to end with the connection if
+// the lines are ignored.
+func (c Corrupter) framed(lines string) []Response {
+	name, head := fmt.Sprintf("%q", lines), okLine+c.config.Fields+lines+"\r\n\r\n"
+	all := []Response{{Name: name, Text: head + c.config.Body}}
+	if strings.Contains(lines, "chun") {
+		all = append(all, Response{Name: name + " with a chunk", Text: fmt.Sprintf("%s%s\r\n%s\r\n0\r\n\r\n", head, c.size(), c.config.Body)})
+	}
+	return all
 }
 
 // chunked returns a response with a body in one chunk. sizeLine ends the size of the chunk and trailers follow the last one.
--- a/internal/standin/corrupter/fields.go
+++ b/internal/standin/corrupter/fields.go
@@ -24,7 +24,7 @@
 		all = append(all, c.withLength(fmt.Sprintf("%q", line), okLine+line+"\r\n"), c.withLength(fmt.Sprintf("%q later", line), okLine+"X-First: a\r\n"+line+"\r\n"))
 	}
 	for _, line := range framingLines {
-		all = append(all, c.untilClose(c.fillIn(line)))
+		all = append(all, c.framed(c.fillIn(line))...)
 	}
 	valid := c.withLength("", okLine).Text
 	head, body, _ := strings.Cut(valid, "\r\n\r\n")
--- a/internal/standin/corrupter/lengths.go
+++ b/internal/standin/corrupter/lengths.go
@@ -10,7 +10,7 @@
 	"Content-Length: 99999999999999999999", "Content-Length: 9223372036854775808", "Content-Length: \x00{length}", "Content-Length: {length}\x00",
 	"Content-Length: \x0b{length}", "Content-Length: {length}\x7f", "Content-Length: \xff", "Content-Length: {length}\r\nContent-Length: 1",
 	"Content-Length:\r\nContent-Length: {length}", "Content-Length: {length}\r\nContent-Length: +{length}", "Transfer-Encoding:",
-	"Transfer-Encoding: chunke", "Transfer-Encoding: identity", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, chunked",
+	"Transfer-Encoding: chunke", "Transfer-Encoding: chun\u212aed", "Transfer-Encoding: identity", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, chunked",
 	"Transfer-Encoding: chunked\x0b", "Transfer-Encoding: \x00chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
 	"Transfer-Encoding: identity\r\nContent-Length: {length}", "Content-Length: {length}\r\nTransfer-Encoding: chunked"}
 
@@ -18,7 +18,7 @@
 func (c Corrupter) Lengths() []Response {
 	var all []Response
 	for _, line := range lengthLines {
-		all = append(all, c.untilClose(c.fillIn(line)))
+		all = append(all, c.framed(c.fillIn(line))...)
 	}
 	const noContent = "HTTP/1.1 204 No Content\r\n"
 	return append(all,
