Forwarder: rows of TestMalformedRequests for a chunk's size and a trailer

Requests are read by the decoder that has become strict for responses. On both requests run (200; the two rows fail); now they get 400 before they run.

--- a/internal/forwarder/response_test.go
+++ b/internal/forwarder/response_test.go
@@ -162,6 +162,8 @@
 	tests := []struct{ name, text, want string }{
 		{"length and encoding", "POST /post HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
 		{"two lengths", "POST /post HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400"},
+		{"size of a chunk", "POST /post HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3 4\r\nabc\r\n0\r\n\r\n", "400"},
+		{"trailer", "POST /post HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX A: b\r\n\r\n", "400"},
 		{"bad length", "POST /post HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400"},
 		{"bad method", "G@T /get HTTP/1.1\r\n\r\n", "400"},
 		{"bad protocol", "GET /get HTTP/9.9\r\n\r\n", "400"},
