Forwarder: a part of a response and a malformed one make no head together

Cause: a late second response that is cut in its status line ("HTTP/1.1 500 Internal Serv"), followed by a malformed status line ("HTTP/1.1 x200 OK"), is one valid status line with an odd reason phrase. A status line within a head was looked for, but only a well-formed one. In the same way, a cut in the value of the seal or of the mark of a refusal joins these with the next head; the latter would tell that a call which has run has not.

Change: a reason phrase that names the protocol ("HTTP/") is malformed. A response in which the id, the seal or the mark of a refusal occurs twice or names the protocol is invalid, so that the call's outcome is unknown. Other values may name it (Server, Via), so that a cut in such a field, in a response whose status line is malformed as well, still can't be told.

--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"slices"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/parser"
 )
 
 // Dialect holds the names of the headers, and the statuses, in which deployments differ. An empty name means that the
@@ -71,9 +73,23 @@
 	responseStale
 )
 
+// isJoined reports whether a head consists of parts of two responses: a field by which responses are classified occurs twice, or
+// has a part of a status line in its value.
+func (d Dialect) isJoined(m *message) bool {
+	for _, key := range [...]string{d.RequestID, d.Seal, d.NotExecuted} {
+		if key != "" && (m.count(key) > 1 || parser.NamesProtocol(m.get(key))) {
+			return true
+		}
+	}
+	return false
+}
+
 // classify classifies a response head of the upstream. id is the request's value of RequestID, or empty. If there is one,
 // the response must echo it: without it, also a refusal may be that of an earlier request, sent once more.
 func (d Dialect) classify(m *message, id string) responseClass {
+	if d.isJoined(m) {
+		return responseInvalid
+	}
 	echoed := ""
 	if d.RequestID != "" {
 		echoed = m.get(d.RequestID)
--- a/internal/parser/statusline.go
+++ b/internal/parser/statusline.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
 
 const (
+	protocolName = "HTTP"
 	// ProtocolPrefix begins each response.
 	ProtocolPrefix = "HTTP/1."
 	// statusDigits is the length of a status code.
@@ -30,8 +32,25 @@
 	return status, err == nil && status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
 }
 
-// validReason reports whether a reason phrase is valid. It may consist of the bytes of which field values do.
-func validReason(reason string) bool { return httpguts.ValidHeaderFieldValue(reason) }
+// validReason reports whether a reason phrase is valid. It may consist of the bytes of which field values do. One that names
+// the protocol has another status line in it, so that an incomplete response lies before the complete one.
+func validReason(reason string) bool {
+	return httpguts.ValidHeaderFieldValue(reason) && !NamesProtocol(reason)
+}
+
+// NamesProtocol reports whether a text contains "HTTP/" in upper or lower case, as a status line does, also a malformed one.
+func NamesProtocol(text string) bool {
+	for {
+		before, after, found := strings.Cut(text, "/")
+		if !found {
+			return false
+		}
+		if n := len(before) - len(protocolName); n >= 0 && strings.EqualFold(before[n:], protocolName) {
+			return true
+		}
+		text = after
+	}
+}
 
 // AfterStatusLine returns what follows the first status code in b that is part of a status line. If a response's head has
 // one after its own, an incomplete response lies before the complete one, and the status and header fields may belong to
