Forwarder: the id of a caller may name the protocol

Cause: the id was examined like the seal, but callers choose it.

Change: only what upstreams make up, the seal and the mark of a refusal, may not name the protocol. Two ids are still invalid, and an id that is joined with a status line is not the request's.

Evidence: TestClassifyIDOfTheCaller failed before; TestPartBeforeMalformedResponseIsNoHead still finds no joined head.

--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -74,14 +74,14 @@
 )
 
 // isJoined reports whether a head consists of parts of two responses: a field by which responses are classified occurs twice, or
-// has a part of a status line in its value.
+// one that the upstream makes up has a part of a status line in its value.
 func (d Dialect) isJoined(m *message) bool {
 	for _, key := range [...]string{d.RequestID, d.Seal, d.NotExecuted} {
-		if key != "" && (m.count(key) > 1 || parser.NamesProtocol(m.get(key))) {
+		if key != "" && m.count(key) > 1 {
 			return true
 		}
 	}
-	return false
+	return d.Seal != "" && parser.NamesProtocol(m.get(d.Seal)) || d.NotExecuted != "" && parser.NamesProtocol(m.get(d.NotExecuted))
 }
 
 // classify classifies a response head of the upstream. id is the request's value of RequestID, or empty. If there is one,
--- a/internal/forwarder/dialect_test.go
+++ b/internal/forwarder/dialect_test.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// TestClassifyIDOfTheCaller echoes an ID that names the protocol: callers choose their IDs.
+func TestClassifyIDOfTheCaller(t *testing.T) {
+	const id = "client-http/1.1-7"
+	got := testDialect.classify(&message{status: 200, header: []field{{"X-Id", id}, {"X-Seal", "s"}}}, id)
+	qt.Assert(t, got, qt.Equals, responseValid)
+}
+
 // TestWeightsWithFewCalls splits 60 calls by weight: no part may be off by more than two calls.
 func TestWeightsWithFewCalls(t *testing.T) {
 	for seed := range uint64(50) {
--- a/internal/standin/stutterer/drawer_test.go
+++ b/internal/standin/stutterer/drawer_test.go
@@ -82,6 +82,19 @@
 	qt.Assert(t, cut > draws*9/10, qt.IsTrue, qt.Commentf("%d of %d are incomplete", cut, draws))
 }
 
+// TestMalformedResponse draws malformed responses: the same ones from the same source, of many kinds.
+func TestMalformedResponse(t *testing.T) {
+	h, _ := newHistory(true, []string{"u"}, []int{200})
+	names := map[string]bool{}
+	for seed := range uint64(draws) {
+		d, same := newDrawer(seed, DefaultChances()), newDrawer(seed, DefaultChances())
+		s := d.malformed(d.response(h.runs[0], 200, 20))
+		qt.Assert(t, same.malformed(same.response(h.runs[0], 200, 20)).join(), qt.DeepEquals, s.join())
+		names[s.text] = true
+	}
+	qt.Assert(t, len(names) > draws/4, qt.IsTrue, qt.Commentf("%d kinds", len(names)))
+}
+
 func TestMalformedBytesAreNoAnswer(t *testing.T) {
 	a := ask([]byte("HTTP/1.1 200 OK\r\nno field\r\n\r\n"))
 	qt.Assert(t, a.malformed, qt.IsTrue)
