--- a/internal/controller/mesh_test.go
+++ b/internal/controller/mesh_test.go
@@ -37,6 +37,10 @@
 	log *fakeLog
 }
 
+// testHost is where the nodes of a mesh listen. Connections to it come from 127.0.0.1, so that none of any process takes a
+// node's port before the node listens.
+const testHost = "127.0.1.1"
+
 // testMesh is a mesh of controllers with real links and a common store.
 type testMesh struct {
 	store *fakeStore
@@ -65,7 +69,7 @@
 
 func startMeshNodeWith(t *testing.T, store *fakeStore, name, zone string, evidence EvidenceSource) *meshNode {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testHost+":0")
 	qt.Assert(t, err, qt.IsNil)
 	address := l.Addr().String()
 	qt.Assert(t, l.Close(), qt.IsNil)
