--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -69,7 +69,7 @@
 // sendBuffered sends the buffered response, which must be complete, with its length instead of chunks.
 func (x *exchange) sendBuffered() {
 	r := x.buffered
-	if !bodyless(r.message.status) && x.request.message.method != http.MethodHead {
+	if !parser.Bodyless(r.message.status) && x.request.message.method != http.MethodHead {
 		length := int64(len(r.body))
 		x.forwarder.common.Checker.Assert(r.message.length < 0 || r.message.length == length, checker.ResponseComplete,
 			"response to call %x buffered with %d of %d bytes", x.id, length, r.message.length)
--- a/internal/forwarder/clientconn.go
+++ b/internal/forwarder/clientconn.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/parser"
+)
 
 // clientConn is a connection to another node or to the upstream. It carries one attempt at a time.
 type clientConn struct {
@@ -110,7 +114,7 @@
 		return nil
 	}
 	c.conn.resume()
-	reusable := !surplus && !c.skippedStale && m.keepAlive() && a.requestSent && (m.length >= 0 || m.chunked || bodyless(m.status))
+	reusable := !surplus && !c.skippedStale && m.keepAlive() && a.requestSent && (m.length >= 0 || m.chunked || parser.Bodyless(m.status))
 	c.attempt = nil
 	if !reusable {
 		c.discard()
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -77,11 +77,11 @@
 // one that the upstream makes up has a part of a status line in its value.
 func (d Dialect) isJoined(m *message) bool {
 	for _, key := range [...]string{d.RequestID, d.Seal, d.NotExecuted} {
-		if key != "" && m.count(key) > 1 {
+		if m.count(key) > 1 {
 			return true
 		}
 	}
-	return d.Seal != "" && parser.NamesProtocol(m.get(d.Seal)) || d.NotExecuted != "" && parser.NamesProtocol(m.get(d.NotExecuted))
+	return parser.NamesProtocol(m.get(d.Seal)) || parser.NamesProtocol(m.get(d.NotExecuted))
 }
 
 // classify classifies a response head of the upstream. id is the request's value of RequestID, or empty. If there is one,
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -221,8 +221,3 @@
 }
 
 const lastChunk = "0\r\n\r\n"
-
-// bodyless reports whether responses with a status never have a body.
-func bodyless(status int) bool {
-	return status < 200 || status == 204 || status == 304
-}
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/checker"
+	"github.com/tamarackpitch/tamarackpitch/internal/parser"
 )
 
 // maxSavedBodyBytes limits the body of a saved response.
@@ -66,7 +67,7 @@
 // writeFraming ends a head with the header fields that apply to the caller's connection.
 func (x *exchange) writeFraming(b *bytes.Buffer, m *message) {
 	length := m.length
-	noBody := bodyless(m.status) || x.request.message.method == http.MethodHead
+	noBody := parser.Bodyless(m.status) || x.request.message.method == http.MethodHead
 	x.chunkedResponse = length < 0 && !noBody
 	if x.chunkedResponse && x.request.message.proto == "HTTP/1.0" {
 		x.chunkedResponse = false
--- a/internal/forwarder/responsehead.go
+++ b/internal/forwarder/responsehead.go
@@ -34,7 +34,7 @@
 // responseBodyLength returns the length of a response's body, lengthCloseDelimited or lengthChunked.
 func (r *reader) responseBodyLength(h *parser.Head) int64 {
 	switch {
-	case h.Bodyless() || r.handler.isHead():
+	case parser.Bodyless(h.Status) || r.handler.isHead():
 		return 0
 	case h.Chunked:
 		return lengthChunked
--- a/internal/forwarder/unforwarded.go
+++ b/internal/forwarder/unforwarded.go
@@ -1,5 +1,7 @@
 package forwarder
 
+import "github.com/tamarackpitch/tamarackpitch/internal/parser"
+
 // maxUnforwardedBytes limits how much is read of the body of a response that is not forwarded, because it is discarded or
 // suppressed. Reading it to its end only keeps the connection, and completes the failure that may become the call's
 // fallback, for which the limit is the same.
@@ -12,7 +14,7 @@
 // a body of more than maxUnforwardedBytes.
 func (c *clientConn) limitUnforwarded(m *message) error {
 	c.unforwardedBytes = 0
-	if c.attempt == nil || c.isHead() || bodyless(m.status) || c.forwards() || m.length <= maxUnforwardedBytes {
+	if c.attempt == nil || c.isHead() || parser.Bodyless(m.status) || c.forwards() || m.length <= maxUnforwardedBytes {
 		return nil
 	}
 	return c.cutResponse()
--- a/internal/parser/head.go
+++ b/internal/parser/head.go
@@ -37,9 +37,9 @@
 // Interim reports whether the response is an interim one (1xx), which another response follows.
 func (h *Head) Interim() bool { return h.Status < http.StatusOK }
 
-// Bodyless reports whether responses with the status never have a body.
-func (h *Head) Bodyless() bool {
-	return h.Interim() || h.Status == http.StatusNoContent || h.Status == http.StatusNotModified
+// Bodyless reports whether responses with a status never have a body.
+func Bodyless(status int) bool {
+	return status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
 // setStatusLine parses the status line: version, blank, status code, blank, and a reason phrase, which may be empty
--- a/internal/parser/headparser.go
+++ b/internal/parser/headparser.go
@@ -92,9 +92,6 @@
 	if !found {
 		return malformedHead("line end")
 	}
-	if _, found := AfterStatusLine(text[min(1, len(text)):]); found {
-		return malformedHead("status line within a response head")
-	}
 	switch {
 	case !p.inFields:
 		p.inFields = true
@@ -104,6 +101,9 @@
 		p.done = true
 		return p.head.setBody()
 	}
+	if _, found := AfterStatusLine(text); found {
+		return malformedHead("status line within a response head")
+	}
 	f, ok := parseField(string(text))
 	if !ok {
 		return malformedHead("line that is no field")
--- a/internal/parser/headparser_test.go
+++ b/internal/parser/headparser_test.go
@@ -45,7 +45,7 @@
 			return nil, "", err
 		}
 	}
-	if !p.Done() || p.Head().Chunked && !p.Head().Bodyless() && !chunks.Done() {
+	if !p.Done() || p.Head().Chunked && !parser.Bodyless(p.Head().Status) && !chunks.Done() {
 		return nil, "", nil
 	}
 	return p.Head(), body.String(), nil
@@ -141,7 +141,7 @@
 		}
 		qt.Assert(t, response.Header.Values(f.Key), qt.Contains, f.Value)
 	}
-	if head.Bodyless() {
+	if parser.Bodyless(head.Status) {
 		return
 	}
 	qt.Assert(t, fmt.Sprint(response.TransferEncoding), qt.Equals, map[bool]string{true: "[chunked]", false: "[]"}[head.Chunked])
--- a/internal/requester/checkedconn.go
+++ b/internal/requester/checkedconn.go
@@ -51,7 +51,7 @@
 			c.head = parser.HeadParser{}
 		}
 	}
-	if !c.head.Done() || !c.head.Head().Chunked || c.head.Head().Bodyless() {
+	if !c.head.Done() || !c.head.Head().Chunked || parser.Bodyless(c.head.Head().Status) {
 		return nil
 	}
 	_, err := c.chunks.Decode(data, discard)
--- a/internal/requester/requester_test.go
+++ b/internal/requester/requester_test.go
@@ -19,26 +19,6 @@
 // requestTimeout bounds one request. It is far longer than a request takes.
 const requestTimeout = 30 * time.Second
 
-// serveTruncated answers each connection with what cut returns and closes it.
-func serveTruncated(t *testing.T, cut func() string) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = c.Read(make([]byte, 4096))
-			_, _ = io.WriteString(c, cut())
-			_ = c.Close()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // TestTruncatedResponsesAreErrors closes the connection at each byte of a response: a part of it must not be taken for the
 // whole, since the caller decides from it what the log holds.
 func TestTruncatedResponsesAreErrors(t *testing.T) {
@@ -50,7 +30,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cut := ""
-			address := serveTruncated(t, func() string { return cut })
+			address := serveRaw(t, func(c net.Conn) { _, _ = io.WriteString(c, cut) })
 			for i := range len(response) {
 				cut = response[:i]
 				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
