Tests of the controller: no two nodes of a process take the same port

Cause: each node of these tests takes a free port, closes it, and has the controller listen on it. Six tests of the package run in parallel and start 15 nodes each, five more start one, all on 127.0.1.1.

Change: each node has a loopback address of its own, so that no two share the set of ports. What the tests check is the same.

--- a/internal/controller/mesh_test.go
+++ b/internal/controller/mesh_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,9 +38,15 @@
 	log *fakeLog
 }
 
-// testHost is where the nodes of a mesh listen. Connections to it come from 127.0.0.1, so that none of any process takes a
-// node's port before the node listens.
-const testHost = "127.0.1.1"
+// hostsGiven counts the calls of unusedHost.
+var hostsGiven atomic.Uint32
+
+// unusedHost returns a loopback address that no other node of this process listens on. Connections to it come from 127.0.0.1.
+// So neither a connection nor another test takes a port of it before the node listens.
+func unusedHost() string {
+	n := hostsGiven.Add(1)
+	return fmt.Sprintf("127.1.%d.%d", n>>8, n&0xff)
+}
 
 // testMesh is a mesh of controllers with real links and a common store.
 type testMesh struct {
@@ -69,7 +76,7 @@
 
 func startMeshNodeWith(t *testing.T, store *fakeStore, name, zone string, evidence EvidenceSource) *meshNode {
 	t.Helper()
-	l, err := net.Listen("tcp", testHost+":0")
+	l, err := net.Listen("tcp", unusedHost()+":0")
 	qt.Assert(t, err, qt.IsNil)
 	address := l.Addr().String()
 	qt.Assert(t, l.Close(), qt.IsNil)
