Gossiper: responses of other nodes with a status that is none were taken

What callers saw: nothing yet, no call has been seen to fail by it. A node took what a faulty node sent in a response of gRPC whose status is missing, 000, 600, x00, 500 or the like: tokens, by which it accepts or refuses a customer's calls, or a link, over which it takes configuration.

Cause: grpc-go does not look at the status of a response whose content type is that of gRPC. It takes a second head that ends the response for trailers, and a switch of protocols (101) for an interim response.

Evidence: the new tests, with a stand-in that sends frames of HTTP/2, whole and byte by byte.

Change: the client's end of a connection to another node checks each frame before gRPC reads it. A response begins with one status, that of an interim response other than 101, or 200, as the protocol of gRPC requires. Anything else ends the connection and is logged with the node's address; the call fails as after a lost connection. It works because no byte of a malformed frame reaches the library.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -161,7 +161,7 @@
 	k.start = newStartState(now)
 	k.publishHello()
 	g, err := gossiper.New(gossiper.Config{
-		Listen: c.Common.Settings.ControlListen, Clock: c.Common.Recorder.Clock(), Hello: k.hello.Load,
+		Listen: c.Common.Settings.ControlListen, Logger: c.Common.Logger, Clock: c.Common.Recorder.Clock(), Hello: k.hello.Load,
 		GrantTokens: c.GrantTokens})
 	if err != nil {
 		return nil, err
--- a/internal/gossiper/error.go
+++ b/internal/gossiper/error.go
@@ -12,6 +12,8 @@
 	KindListen   Kind = "listen"
 	KindReport   Kind = "report"
 	KindTokens   Kind = "tokens"
+	// KindMalformed is input that is no part of a valid response.
+	KindMalformed Kind = "malformed"
 )
 
 // Error is a failed operation of the overlay.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -27,6 +28,8 @@
 	reportTimeout   = 500 * time.Millisecond
 	maxMessageBytes = 32 << 20
 	ioBufferBytes   = 4 << 10
+	// unbuffered reads a checkedConn, which has its own buffer.
+	unbuffered = 0
 	// windowBytes is the fixed flow-control window. With a dynamic window, gRPC sends a ping with every few frames.
 	windowBytes    = 1 << 20
 	eventQueueSize = 1024
@@ -37,6 +40,7 @@
 // Config builds a Gossiper.
 type Config struct {
 	Listen string
+	Logger hclog.Logger
 	// Clock is advanced past the times of received frames.
 	Clock *recorder.Clock
 	// Hello returns this node's current hello. It must be safe for concurrent use.
@@ -236,12 +240,21 @@
 	return l, nil
 }
 
+// dialChecked dials a metered connection whose input is checked.
+func (g *Gossiper) dialChecked(ctx context.Context, address string) (net.Conn, error) {
+	c, err := g.meter.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newCheckedConn(c, g.config.Logger), nil
+}
+
 // connect returns a metered client connection to an address. It does not wait for the connection to be established.
 func (g *Gossiper) connect(address string) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(g.meter.dial),
+		grpc.WithContextDialer(g.dialChecked),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
-		grpc.WithReadBufferSize(ioBufferBytes), grpc.WithWriteBufferSize(ioBufferBytes),
+		grpc.WithReadBufferSize(unbuffered), grpc.WithWriteBufferSize(ioBufferBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
 }
--- /dev/null
+++ b/internal/gossiper/malformedanswer_test.go
@@ -0,0 +1,154 @@
+package gossiper
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/net/http2/hpack"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
+)
+
+var (
+	okHead     = fields(":status", "200", "content-type", "application/grpc")
+	okTrailers = fields("grpc-status", "0")
+)
+
+// malformedHeads are the header fields of answers that no client may take.
+func malformedHeads() map[string][]hpack.HeaderField {
+	all := map[string][]hpack.HeaderField{
+		"no status":             fields("content-type", "application/grpc"),
+		"two statuses":          fields(":status", "200", ":status", "200", "content-type", "application/grpc"),
+		"status after a field":  fields("content-type", "application/grpc", ":status", "200"),
+		"unknown pseudo-header": fields(":status", "200", ":length", "1", "content-type", "application/grpc"),
+		"no content type":       fields(":status", "200"),
+		"other content type":    fields(":status", "200", "content-type", "text/plain"),
+	}
+	for _, status := range []string{"", "000", "0", "099", "99", "600", "999", "2000", "0200", "+200", "-200", "x00", " 200", "200 ", "20\x00", "204", "500", "503"} {
+		all[fmt.Sprintf("status %q", status)] = fields(":status", status, "content-type", "application/grpc")
+	}
+	for _, name := range []string{"x a", "x-a ", " x-a", "x\x00a", "x\x01a", "x\x7fa", "x\xffa", "x:a", "X-A", ""} {
+		all[fmt.Sprintf("name %q", name)] = append(slices.Clone(okHead), fields(name, "b")...)
+	}
+	for _, value := range []string{"\x00", "a\x01b", "a\rb", "a\nb", "a\r\nx-b: c", "\x7f"} {
+		all[fmt.Sprintf("value %q", value)] = append(slices.Clone(okHead), fields("x-a", value)...)
+	}
+	return all
+}
+
+// malformedBegins are answers of which no part may be taken, without data and trailers.
+func malformedBegins() map[string]grpcAnswer {
+	all := map[string]grpcAnswer{
+		"interim response 101":  {interim: fields(":status", "101"), head: okHead},
+		"interim response 000":  {interim: fields(":status", "000"), head: okHead},
+		"interim response 099":  {interim: fields(":status", "099"), head: okHead},
+		"interim response name": {interim: fields(":status", "103", "x a", "b"), head: okHead},
+	}
+	for name, head := range malformedHeads() {
+		all[name] = grpcAnswer{head: head}
+	}
+	return all
+}
+
+// malformedAnswers are answers to a request that no client may take for a message. valid is the message with its prefix.
+func malformedAnswers(valid []byte) map[string]grpcAnswer {
+	all := map[string]grpcAnswer{
+		"no trailers":                {head: okHead, data: valid},
+		"no message":                 {head: okHead, trailers: okTrailers},
+		"two messages":               {head: okHead, data: append(slices.Clone(valid), valid...), trailers: okTrailers},
+		"bytes after the message":    {head: okHead, data: append(slices.Clone(valid), 0), trailers: okTrailers},
+		"message cut":                {head: okHead, data: valid[:len(valid)-1], trailers: okTrailers},
+		"prefix cut":                 {head: okHead, data: valid[:grpcPrefixBytes-1], trailers: okTrailers},
+		"no end":                     {head: okHead, data: valid, open: true},
+		"interim response at an end": {head: fields(":status", "103"), data: valid},
+		"trailers without status":    {head: okHead, data: valid, trailers: fields("x-a", "b")},
+		"second head":                {head: okHead, data: valid, trailers: append(slices.Clone(okHead), okTrailers...)},
+	}
+	for name, begin := range malformedBegins() {
+		begin.data, begin.trailers = valid, okTrailers
+		all[name] = begin
+	}
+	for _, flag := range []byte{1, 2, 0x80, 0xff} {
+		data := slices.Clone(valid)
+		data[0] = flag
+		all[fmt.Sprint("flag ", flag)] = grpcAnswer{head: okHead, data: data, trailers: okTrailers}
+	}
+	for _, length := range []byte{0, 1, byte(len(valid) - grpcPrefixBytes - 1), byte(len(valid) - grpcPrefixBytes + 1), 0xff} {
+		data := slices.Clone(valid)
+		data[grpcPrefixBytes-1] = length
+		all[fmt.Sprint("length ", length)] = grpcAnswer{head: okHead, data: data, trailers: okTrailers}
+	}
+	for _, name := range []string{"x a", "x\x00a", "x\x01a", "X-A", ":status", ""} {
+		all[fmt.Sprintf("trailer %q", name)] = grpcAnswer{head: okHead, data: valid, trailers: append(slices.Clone(okTrailers), fields(name, "b")...)}
+	}
+	return all
+}
+
+// validAnswers are unusual answers that a client takes.
+func validAnswers(valid []byte) map[string]grpcAnswer {
+	interim := fields(":status", "103", "link", "x")
+	return map[string]grpcAnswer{
+		"valid":            {head: okHead, data: valid, trailers: okTrailers},
+		"split heads":      {head: okHead, data: valid, trailers: okTrailers, split: true},
+		"padding":          {head: okHead, data: valid, trailers: okTrailers, padding: make([]byte, 9)},
+		"interim response": {interim: interim, head: okHead, data: valid, trailers: okTrailers},
+		"other fields": {head: append(slices.Clone(okHead), fields("x-a", "", "x-a", "\xff\t b")...), data: valid,
+			trailers: append(slices.Clone(okTrailers), fields("x-a", "b")...)},
+	}
+}
+
+// eachAnswer runs a test on each answer, whole and byte by byte.
+func eachAnswer(t *testing.T, answers map[string]grpcAnswer, test func(t *testing.T, g *Gossiper, address string)) {
+	for name, a := range answers {
+		for _, byteByByte := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, byte by byte %t", name, byteByByte), func(t *testing.T) {
+				t.Parallel()
+				g, err := New(Config{Listen: "127.0.0.1:0", Logger: hclog.NewNullLogger(), Clock: recorder.New("n", time.Now).Clock(),
+					Hello: func() *schema.Hello { return testHello }})
+				qt.Assert(t, err, qt.IsNil)
+				defer g.Close()
+				test(t, g, newMalformedPeer(t, a, byteByByte).listener.Addr().String())
+			})
+		}
+	}
+}
+
+// testHello is the hello of both ends of a link.
+var testHello = &schema.Hello{Protocol: Protocol, Member: &schema.Member{Node: "n"}}
+
+// TestMalformedAnswersOfNodes: a node that asks another one for tokens takes no malformed answer for one.
+func TestMalformedAnswersOfNodes(t *testing.T) {
+	valid := grpcMessage(t, &schema.TokenResponse{Grants: []*schema.TokenGrant{{Tokens: 2}, {Tokens: 3}}})
+	eachAnswer(t, malformedAnswers(valid), func(t *testing.T, g *Gossiper, address string) {
+		answer, err := g.AskTokens(address, &schema.TokenRequest{})
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%v", answer))
+	})
+	eachAnswer(t, validAnswers(valid), func(t *testing.T, g *Gossiper, address string) {
+		answer, err := g.AskTokens(address, &schema.TokenRequest{})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, len(answer.Grants), qt.Equals, 2)
+	})
+}
+
+// TestMalformedLinksToNodes: a node opens no link over which a malformed response arrives.
+func TestMalformedLinksToNodes(t *testing.T) {
+	hello := grpcMessage(t, &schema.Frame{Hello: testHello})
+	malformed := malformedBegins()
+	for name, a := range malformed {
+		a.data, a.open = hello, true
+		malformed[name] = a
+	}
+	eachAnswer(t, malformed, func(t *testing.T, g *Gossiper, address string) {
+		g.Dial(address)
+		qt.Assert(t, (<-g.Events()).Kind, qt.Equals, DialFailed)
+	})
+	eachAnswer(t, validAnswers(hello), func(t *testing.T, g *Gossiper, address string) {
+		g.Dial(address)
+		qt.Assert(t, (<-g.Events()).Kind, qt.Equals, LinkOpened)
+	})
+}
--- a/internal/gossiper/tokens_test.go
+++ b/internal/gossiper/tokens_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
@@ -22,7 +23,7 @@
 		return a
 	}
 	start := func(address string) *Gossiper {
-		g, err := New(Config{Listen: address, Clock: recorder.New("n", time.Now).Clock(), GrantTokens: answer})
+		g, err := New(Config{Listen: address, Logger: hclog.NewNullLogger(), Clock: recorder.New("n", time.Now).Clock(), GrantTokens: answer})
 		qt.Assert(t, err, qt.IsNil)
 		return g
 	}
@@ -71,7 +72,7 @@
 // TestDropReportConn: when several requests to a node fail, the second failure does not close the connection that was made
 // after the first.
 func TestDropReportConn(t *testing.T) {
-	g, err := New(Config{Listen: "127.0.0.1:0", Clock: recorder.New("n", time.Now).Clock()})
+	g, err := New(Config{Listen: "127.0.0.1:0", Logger: hclog.NewNullLogger(), Clock: recorder.New("n", time.Now).Clock()})
 	qt.Assert(t, err, qt.IsNil)
 	defer g.Close()
 	const address = "127.0.0.1:1"
--- a/internal/parser/head.go
+++ b/internal/parser/head.go
@@ -50,7 +50,7 @@
 		return malformedHead("protocol version")
 	}
 	code, reason, found := strings.Cut(rest, " ")
-	status, ok := parseStatus(code)
+	status, ok := ParseStatus(code)
 	if !found || !ok {
 		return malformedHead("status code")
 	}
@@ -105,7 +105,7 @@
 
 // addLength takes a value of Content-Length. Further ones must state the same length.
 func (h *Head) addLength(value string) error {
-	length, ok := parseLength(value)
+	length, ok := ParseLength(value)
 	if !ok {
 		return malformedHead("Content-Length")
 	}
@@ -126,8 +126,8 @@
 	return nil
 }
 
-// parseLength parses a length in bytes, which consists of digits only.
-func parseLength(value string) (length int64, ok bool) {
+// ParseLength parses a length in bytes, which consists of digits only.
+func ParseLength(value string) (length int64, ok bool) {
 	if !isDigits(value) {
 		return 0, false
 	}
--- a/internal/parser/statusline.go
+++ b/internal/parser/statusline.go
@@ -22,9 +22,9 @@
 	maxStatus = 599
 )
 
-// parseStatus parses a status code: three digits that name one of the five classes (RFC 9110, section 15). A switch of
+// ParseStatus parses a status code: three digits that name one of the five classes (RFC 9110, section 15). A switch of
 // protocols answers no request, since none asks for it.
-func parseStatus(code string) (status int, ok bool) {
+func ParseStatus(code string) (status int, ok bool) {
 	if len(code) != statusDigits || !isDigits(code) {
 		return 0, false
 	}
