Gossiper: responses of other nodes whose length contradicts their body were taken

What callers saw: nothing yet.

Cause: grpc-go ignores the field; each message states its own length.

Evidence: rows with lengths that are no number, that contradict each other or the body, also in interim responses.

Change: the check that precedes gRPC compares the stated length with the data of the stream (RFC 9113, section 8.1.1), by the parser's rules for lengths. It ends the connection at the first byte too many, or at an end that comes too early.

--- a/internal/gossiper/checkedconn.go
+++ b/internal/gossiper/checkedconn.go
@@ -109,7 +109,7 @@
 		if len(c.responses) >= maxOpenResponses {
 			return fmt.Errorf("more than %d open responses", maxOpenResponses)
 		}
-		r = &response{}
+		r = newResponse()
 		c.responses[f.StreamID] = r
 	}
 	return c.endIf(f.StreamEnded(), f.StreamID, r, r.addFields(f))
--- a/internal/gossiper/malformedanswer_test.go
+++ b/internal/gossiper/malformedanswer_test.go
@@ -28,6 +28,10 @@
 		"unknown pseudo-header": fields(":status", "200", ":length", "1", "content-type", "application/grpc"),
 		"no content type":       fields(":status", "200"),
 		"other content type":    fields(":status", "200", "content-type", "text/plain"),
+		"two lengths":           append(slices.Clone(okHead), fields("content-length", "1000", "content-length", "1001")...),
+	}
+	for _, length := range []string{"", "0", "1", "+1000", "-0", "x", "1000 1000", "1000, 1000", "0x1000", "1000\x00", "99999999999999999999"} {
+		all[fmt.Sprintf("content-length %q", length)] = append(slices.Clone(okHead), fields("content-length", length)...)
 	}
 	for _, status := range []string{"", "000", "0", "099", "99", "600", "999", "2000", "0200", "+200", "-200", "x00", " 200", "200 ", "20\x00", "204", "500", "503"} {
 		all[fmt.Sprintf("status %q", status)] = fields(":status", status, "content-type", "application/grpc")
@@ -44,10 +48,11 @@
 // malformedBegins are answers of which no part may be taken, without data and trailers.
 func malformedBegins() map[string]grpcAnswer {
 	all := map[string]grpcAnswer{
-		"interim response 101":  {interim: fields(":status", "101"), head: okHead},
-		"interim response 000":  {interim: fields(":status", "000"), head: okHead},
-		"interim response 099":  {interim: fields(":status", "099"), head: okHead},
-		"interim response name": {interim: fields(":status", "103", "x a", "b"), head: okHead},
+		"interim response 101":    {interim: fields(":status", "101"), head: okHead},
+		"interim response 000":    {interim: fields(":status", "000"), head: okHead},
+		"interim response 099":    {interim: fields(":status", "099"), head: okHead},
+		"interim response length": {interim: fields(":status", "103", "content-length", "1"), head: okHead},
+		"interim response name":   {interim: fields(":status", "103", "x a", "b"), head: okHead},
 	}
 	for name, head := range malformedHeads() {
 		all[name] = grpcAnswer{head: head}
@@ -83,6 +88,10 @@
 		data[grpcPrefixBytes-1] = length
 		all[fmt.Sprint("length ", length)] = grpcAnswer{head: okHead, data: data, trailers: okTrailers}
 	}
+	for _, length := range []int{len(valid) - 1, len(valid) + 1} {
+		head := append(slices.Clone(okHead), fields("content-length", fmt.Sprint(length))...)
+		all[fmt.Sprint("content-length ", length)] = grpcAnswer{head: head, data: valid, trailers: okTrailers}
+	}
 	for _, name := range []string{"x a", "x\x00a", "x\x01a", "X-A", ":status", ""} {
 		all[fmt.Sprintf("trailer %q", name)] = grpcAnswer{head: okHead, data: valid, trailers: append(slices.Clone(okTrailers), fields(name, "b")...)}
 	}
@@ -92,10 +101,13 @@
 // validAnswers are unusual answers that a client takes.
 func validAnswers(valid []byte) map[string]grpcAnswer {
 	interim := fields(":status", "103", "link", "x")
+	stating := append(slices.Clone(okHead), fields("content-length", fmt.Sprint(len(valid)))...)
 	return map[string]grpcAnswer{
 		"valid":            {head: okHead, data: valid, trailers: okTrailers},
 		"split heads":      {head: okHead, data: valid, trailers: okTrailers, split: true},
-		"padding":          {head: okHead, data: valid, trailers: okTrailers, padding: make([]byte, 9)},
+		"padding":          {head: stating, data: valid, trailers: okTrailers, padding: make([]byte, 9)},
+		"length":           {head: stating, data: valid, trailers: okTrailers},
+		"length twice":     {head: append(slices.Clone(stating), stating[len(okHead)]), data: valid, trailers: okTrailers},
 		"interim response": {interim: interim, head: okHead, data: valid, trailers: okTrailers},
 		"other fields": {head: append(slices.Clone(okHead), fields("x-a", "", "x-a", "\xff\t b")...), data: valid,
 			trailers: append(slices.Clone(okTrailers), fields("x-a", "b")...)},
