Gossiper: results of calls that are stated twice or signed were taken

What callers saw: nothing yet. A node took the answer of a faulty node for a success although its trailers state the results 13 and then 0, or "-0".

Cause: grpc-go takes the last of several results, and any text that its number parser accepts.

Evidence: rows with ten results that are none and four pairs of them. Without the change, 8 rows of TestMalformedAnswersOfNodes fail ("+0", "-0", 0 twice, 13 before 0; whole and byte by byte); all pass with it. The others were refused before.

Change: trailers that state more than one result, or one that does not consist of digits, end the connection.

--- a/internal/gossiper/malformedanswer_test.go
+++ b/internal/gossiper/malformedanswer_test.go
@@ -92,6 +92,13 @@
 		head := append(slices.Clone(okHead), fields("content-length", fmt.Sprint(length))...)
 		all[fmt.Sprint("content-length ", length)] = grpcAnswer{head: head, data: valid, trailers: okTrailers}
 	}
+	for _, status := range []string{"", "x", " 0", "0 ", "0x0", "-0", "+0", "0\x00", "0, 0", "99999999999999999999"} {
+		all[fmt.Sprintf("grpc-status %q", status)] = grpcAnswer{head: okHead, data: valid, trailers: fields("grpc-status", status)}
+	}
+	for _, statuses := range [][2]string{{"0", "13"}, {"13", "0"}, {"0", "0"}, {"x", "0"}} {
+		all[fmt.Sprintf("grpc-statuses %q", statuses)] = grpcAnswer{head: okHead, data: valid,
+			trailers: fields("grpc-status", statuses[0], "grpc-status", statuses[1])}
+	}
 	for _, name := range []string{"x a", "x\x00a", "x\x01a", "X-A", ":status", ""} {
 		all[fmt.Sprintf("trailer %q", name)] = grpcAnswer{head: okHead, data: valid, trailers: append(slices.Clone(okTrailers), fields(name, "b")...)}
 	}
--- a/internal/gossiper/response.go
+++ b/internal/gossiper/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 
 	"golang.org/x/net/http2"
 
@@ -13,6 +14,8 @@
 const (
 	statusField = ":status"
 	lengthField = "content-length"
+	// resultField states in the trailers whether the call has failed.
+	resultField = "grpc-status"
 	// grpcHTTPStatus is the only status with which a response of gRPC may begin, apart from interim responses.
 	grpcHTTPStatus = http.StatusOK
 )
@@ -88,6 +91,21 @@
 	if len(f.PseudoFields()) > 0 || !f.StreamEnded() {
 		return errors.New("second head")
 	}
+	return checkResult(f)
+}
+
+// checkResult checks that trailers state at most one result, a number. gRPC takes a missing one for a failure.
+func checkResult(f *http2.MetaHeadersFrame) error {
+	stated := false
+	for _, field := range f.RegularFields() {
+		if field.Name != resultField {
+			continue
+		}
+		if _, err := strconv.ParseUint(field.Value, 10, 32); stated || err != nil {
+			return fmt.Errorf("%s %q", resultField, field.Value)
+		}
+		stated = true
+	}
 	return nil
 }
 
