Tests of the gossiper: response in place of answer, as the glossary has it

TestMalformedAnswersOfNodes is TestMalformedTokenResponses now, TestMalformedLinksToNodes TestMalformedLinkResponses. No row and no check differs.

--- a/internal/gossiper/malformedpeer_test.go
+++ b/internal/gossiper/malformedpeer_test.go
@@ -15,15 +15,15 @@
 // grpcPrefixBytes is the length of what precedes a message: a flag and four bytes with its length.
 const grpcPrefixBytes = 5
 
-// grpcAnswer is what a malformedPeer answers a request with.
-type grpcAnswer struct {
+// scriptedResponse is what a malformedPeer sends for a request.
+type scriptedResponse struct {
 	// interim is sent before head unless it is empty.
 	interim []hpack.HeaderField
 	head    []hpack.HeaderField
 	data    []byte
-	// trailers end the answer. If they are empty, data does.
+	// trailers end the response. If they are empty, data does.
 	trailers []hpack.HeaderField
-	// open leaves the answer without an end.
+	// open leaves the response without an end.
 	open bool
 	// split sends head and trailers in two frames each.
 	split bool
@@ -31,19 +31,19 @@
 	padding []byte
 }
 
-// malformedPeer answers each request of a gRPC client, in frames of HTTP/2, with the same answer, which may break any rule.
+// malformedPeer sends for each request of a gRPC client the same response, in frames of HTTP/2, which may break any rule.
 type malformedPeer struct {
 	listener net.Listener
-	answer   grpcAnswer
+	response scriptedResponse
 	// byteByByte sends each byte on its own.
 	byteByByte bool
 }
 
-func newMalformedPeer(t *testing.T, a grpcAnswer, byteByByte bool) *malformedPeer {
+func newMalformedPeer(t *testing.T, r scriptedResponse, byteByByte bool) *malformedPeer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	p := &malformedPeer{listener: l, answer: a, byteByByte: byteByByte}
+	p := &malformedPeer{listener: l, response: r, byteByByte: byteByByte}
 	t.Cleanup(func() { _ = l.Close() })
 	go p.run()
 	return p
@@ -59,7 +59,7 @@
 	}
 }
 
-// serve answers the requests on a connection until the client closes it.
+// serve responds to the requests on a connection until the client closes it.
 func (p *malformedPeer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	if _, err := io.CopyN(io.Discard, c, int64(len(http2.ClientPreface))); err != nil {
@@ -83,12 +83,12 @@
 	}
 }
 
-// frames returns the answer as frames.
+// frames returns the response as frames.
 func (p *malformedPeer) frames(stream uint32, compressor *hpack.Encoder, compressed *bytes.Buffer) []byte {
 	frames := &bytes.Buffer{}
 	writer := http2.NewFramer(frames, nil)
 	writer.AllowIllegalWrites = true
-	a := p.answer
+	r := p.response
 	writeFields := func(fields []hpack.HeaderField, end bool) {
 		if len(fields) == 0 {
 			return
@@ -98,18 +98,18 @@
 			_ = compressor.WriteField(f)
 		}
 		first, rest := compressed.Bytes(), []byte(nil)
-		if a.split {
+		if r.split {
 			first, rest = first[:1], first[1:]
 		}
-		_ = writer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: first, EndHeaders: !a.split, EndStream: end})
-		if a.split {
+		_ = writer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: first, EndHeaders: !r.split, EndStream: end})
+		if r.split {
 			_ = writer.WriteContinuation(stream, true, rest)
 		}
 	}
-	writeFields(a.interim, false)
-	writeFields(a.head, false)
-	_ = writer.WriteDataPadded(stream, !a.open && len(a.trailers) == 0, a.data, a.padding)
-	writeFields(a.trailers, true)
+	writeFields(r.interim, false)
+	writeFields(r.head, false)
+	_ = writer.WriteDataPadded(stream, !r.open && len(r.trailers) == 0, r.data, r.padding)
+	writeFields(r.trailers, true)
 	return frames.Bytes()
 }
 
--- a/internal/gossiper/malformedresponse_test.go
+++ b/internal/gossiper/malformedresponse_test.go
@@ -19,7 +19,7 @@
 	okTrailers = fields("grpc-status", "0")
 )
 
-// malformedHeads are the header fields of answers that no client may take.
+// malformedHeads are the header fields of responses that no client may take.
 func malformedHeads() map[string][]hpack.HeaderField {
 	all := map[string][]hpack.HeaderField{
 		"no status":             fields("content-type", "application/grpc"),
@@ -45,9 +45,9 @@
 	return all
 }
 
-// malformedBegins are answers of which no part may be taken, without data and trailers.
-func malformedBegins() map[string]grpcAnswer {
-	all := map[string]grpcAnswer{
+// malformedBegins are responses of which no part may be taken, without data and trailers.
+func malformedBegins() map[string]scriptedResponse {
+	all := map[string]scriptedResponse{
 		"interim response 101":    {interim: fields(":status", "101"), head: okHead},
 		"interim response 000":    {interim: fields(":status", "000"), head: okHead},
 		"interim response 099":    {interim: fields(":status", "099"), head: okHead},
@@ -55,14 +55,14 @@
 		"interim response name":   {interim: fields(":status", "103", "x a", "b"), head: okHead},
 	}
 	for name, head := range malformedHeads() {
-		all[name] = grpcAnswer{head: head}
+		all[name] = scriptedResponse{head: head}
 	}
 	return all
 }
 
-// malformedAnswers are answers to a request that no client may take for a message. valid is the message with its prefix.
-func malformedAnswers(valid []byte) map[string]grpcAnswer {
-	all := map[string]grpcAnswer{
+// malformedResponses are responses to a request that no client may take for a message. valid is the message with its prefix.
+func malformedResponses(valid []byte) map[string]scriptedResponse {
+	all := map[string]scriptedResponse{
 		"no trailers":                {head: okHead, data: valid},
 		"no message":                 {head: okHead, trailers: okTrailers},
 		"two messages":               {head: okHead, data: append(slices.Clone(valid), valid...), trailers: okTrailers},
@@ -81,35 +81,35 @@
 	for _, flag := range []byte{1, 2, 0x80, 0xff} {
 		data := slices.Clone(valid)
 		data[0] = flag
-		all[fmt.Sprint("flag ", flag)] = grpcAnswer{head: okHead, data: data, trailers: okTrailers}
+		all[fmt.Sprint("flag ", flag)] = scriptedResponse{head: okHead, data: data, trailers: okTrailers}
 	}
 	for _, length := range []byte{0, 1, byte(len(valid) - grpcPrefixBytes - 1), byte(len(valid) - grpcPrefixBytes + 1), 0xff} {
 		data := slices.Clone(valid)
 		data[grpcPrefixBytes-1] = length
-		all[fmt.Sprint("length ", length)] = grpcAnswer{head: okHead, data: data, trailers: okTrailers}
+		all[fmt.Sprint("length ", length)] = scriptedResponse{head: okHead, data: data, trailers: okTrailers}
 	}
 	for _, length := range []int{len(valid) - 1, len(valid) + 1} {
 		head := append(slices.Clone(okHead), fields("content-length", fmt.Sprint(length))...)
-		all[fmt.Sprint("content-length ", length)] = grpcAnswer{head: head, data: valid, trailers: okTrailers}
+		all[fmt.Sprint("content-length ", length)] = scriptedResponse{head: head, data: valid, trailers: okTrailers}
 	}
 	for _, status := range []string{"", "x", " 0", "0 ", "0x0", "-0", "+0", "0\x00", "0, 0", "99999999999999999999"} {
-		all[fmt.Sprintf("grpc-status %q", status)] = grpcAnswer{head: okHead, data: valid, trailers: fields("grpc-status", status)}
+		all[fmt.Sprintf("grpc-status %q", status)] = scriptedResponse{head: okHead, data: valid, trailers: fields("grpc-status", status)}
 	}
 	for _, statuses := range [][2]string{{"0", "13"}, {"13", "0"}, {"0", "0"}, {"x", "0"}} {
-		all[fmt.Sprintf("grpc-statuses %q", statuses)] = grpcAnswer{head: okHead, data: valid,
+		all[fmt.Sprintf("grpc-statuses %q", statuses)] = scriptedResponse{head: okHead, data: valid,
 			trailers: fields("grpc-status", statuses[0], "grpc-status", statuses[1])}
 	}
 	for _, name := range []string{"x a", "x\x00a", "x\x01a", "X-A", ":status", ""} {
-		all[fmt.Sprintf("trailer %q", name)] = grpcAnswer{head: okHead, data: valid, trailers: append(slices.Clone(okTrailers), fields(name, "b")...)}
+		all[fmt.Sprintf("trailer %q", name)] = scriptedResponse{head: okHead, data: valid, trailers: append(slices.Clone(okTrailers), fields(name, "b")...)}
 	}
 	return all
 }
 
-// validAnswers are unusual answers that a client takes.
-func validAnswers(valid []byte) map[string]grpcAnswer {
+// validResponses are unusual responses that a client takes.
+func validResponses(valid []byte) map[string]scriptedResponse {
 	interim := fields(":status", "103", "link", "x")
 	stating := append(slices.Clone(okHead), fields("content-length", fmt.Sprint(len(valid)))...)
-	return map[string]grpcAnswer{
+	return map[string]scriptedResponse{
 		"valid":            {head: okHead, data: valid, trailers: okTrailers},
 		"split heads":      {head: okHead, data: valid, trailers: okTrailers, split: true},
 		"padding":          {head: stating, data: valid, trailers: okTrailers, padding: make([]byte, 9)},
@@ -121,9 +121,9 @@
 	}
 }
 
-// eachAnswer runs a test on each answer, whole and byte by byte.
-func eachAnswer(t *testing.T, answers map[string]grpcAnswer, test func(t *testing.T, g *Gossiper, address string)) {
-	for name, a := range answers {
+// eachResponse runs a test on each response, whole and byte by byte.
+func eachResponse(t *testing.T, responses map[string]scriptedResponse, test func(t *testing.T, g *Gossiper, address string)) {
+	for name, r := range responses {
 		for _, byteByByte := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, byte by byte %t", name, byteByByte), func(t *testing.T) {
 				t.Parallel()
@@ -131,7 +131,7 @@
 					Hello: func() *schema.Hello { return testHello }})
 				qt.Assert(t, err, qt.IsNil)
 				defer g.Close()
-				test(t, g, newMalformedPeer(t, a, byteByByte).listener.Addr().String())
+				test(t, g, newMalformedPeer(t, r, byteByByte).listener.Addr().String())
 			})
 		}
 	}
@@ -140,33 +140,33 @@
 // testHello is the hello of both ends of a link.
 var testHello = &schema.Hello{Protocol: Protocol, Member: &schema.Member{Node: "n"}}
 
-// TestMalformedAnswersOfNodes: a node that asks another one for tokens takes no malformed answer for one.
-func TestMalformedAnswersOfNodes(t *testing.T) {
+// TestMalformedTokenResponses: a node that asks another one for tokens takes no malformed response for one.
+func TestMalformedTokenResponses(t *testing.T) {
 	valid := grpcMessage(t, &schema.TokenResponse{Grants: []*schema.TokenGrant{{Tokens: 2}, {Tokens: 3}}})
-	eachAnswer(t, malformedAnswers(valid), func(t *testing.T, g *Gossiper, address string) {
-		answer, err := g.AskTokens(address, &schema.TokenRequest{})
-		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%v", answer))
+	eachResponse(t, malformedResponses(valid), func(t *testing.T, g *Gossiper, address string) {
+		response, err := g.AskTokens(address, &schema.TokenRequest{})
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%v", response))
 	})
-	eachAnswer(t, validAnswers(valid), func(t *testing.T, g *Gossiper, address string) {
-		answer, err := g.AskTokens(address, &schema.TokenRequest{})
+	eachResponse(t, validResponses(valid), func(t *testing.T, g *Gossiper, address string) {
+		response, err := g.AskTokens(address, &schema.TokenRequest{})
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, len(answer.Grants), qt.Equals, 2)
+		qt.Assert(t, len(response.Grants), qt.Equals, 2)
 	})
 }
 
-// TestMalformedLinksToNodes: a node opens no link over which a malformed response arrives.
-func TestMalformedLinksToNodes(t *testing.T) {
+// TestMalformedLinkResponses: a node opens no link over which a malformed response arrives.
+func TestMalformedLinkResponses(t *testing.T) {
 	hello := grpcMessage(t, &schema.Frame{Hello: testHello})
 	malformed := malformedBegins()
-	for name, a := range malformed {
-		a.data, a.open = hello, true
-		malformed[name] = a
+	for name, r := range malformed {
+		r.data, r.open = hello, true
+		malformed[name] = r
 	}
-	eachAnswer(t, malformed, func(t *testing.T, g *Gossiper, address string) {
+	eachResponse(t, malformed, func(t *testing.T, g *Gossiper, address string) {
 		g.Dial(address)
 		qt.Assert(t, (<-g.Events()).Kind, qt.Equals, DialFailed)
 	})
-	eachAnswer(t, validAnswers(hello), func(t *testing.T, g *Gossiper, address string) {
+	eachResponse(t, validResponses(hello), func(t *testing.T, g *Gossiper, address string) {
 		g.Dial(address)
 		qt.Assert(t, (<-g.Events()).Kind, qt.Equals, LinkOpened)
 	})
