Gossiper: a frame of another node that is cut after its header is no clean end

What callers saw: nothing; found by FuzzCheckedConn, new. A connection that ended between the header of a frame and its payload was handed to gRPC as one that ended between two frames. gRPC fails what runs on it in both cases.

Cause: the framer reports the end of the input as it finds it when it begins to read the payload.

--- a/internal/gossiper/checkedconn.go
+++ b/internal/gossiper/checkedconn.go
@@ -66,7 +66,10 @@
 	if err == nil {
 		err = c.check(f)
 	}
-	if err == nil || isConnectionEnd(err) {
+	switch {
+	case errors.Is(err, io.EOF) && c.checked.Len() > 0:
+		return io.ErrUnexpectedEOF
+	case err == nil || isConnectionEnd(err):
 		return err
 	}
 	err = &Error{Operation: "read", Kind: KindMalformed, Cause: err}
--- a/internal/gossiper/checkedconn_test.go
+++ b/internal/gossiper/checkedconn_test.go
@@ -16,9 +16,16 @@
 type bufferConn struct {
 	net.Conn
 	input bytes.Buffer
+	// one is set if a read returns no more than one byte.
+	one bool
 }
 
-func (c *bufferConn) Read(b []byte) (int, error) { return c.input.Read(b) }
+func (c *bufferConn) Read(b []byte) (int, error) {
+	if c.one {
+		b = b[:min(len(b), 1)]
+	}
+	return c.input.Read(b)
+}
 
 func (c *bufferConn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
 
@@ -69,3 +76,32 @@
 		})
 	}
 }
+
+// FuzzCheckedConn: what is read of any input is a part of it from its beginning, and all of it if no error is found. It is the same if the
+// input arrives byte by byte.
+func FuzzCheckedConn(f *testing.F) {
+	f.Add([]byte("\x0000000000")) // A frame that is cut after its header.
+	for _, r := range malformedResponses(make([]byte, 2*grpcPrefixBytes)) {
+		var table bytes.Buffer
+		f.Add((&malformedPeer{response: r}).frames(1, hpack.NewEncoder(&table), &table))
+	}
+	f.Fuzz(func(t *testing.T, input []byte) {
+		read := func(c net.Conn) ([]byte, error) {
+			var b bytes.Buffer
+			_, err := io.Copy(&b, newCheckedConn(c, hclog.NewNullLogger()))
+			return b.Bytes(), err
+		}
+		whole := &bufferConn{}
+		whole.input.Write(input)
+		b, err := read(whole)
+		qt.Assert(t, bytes.HasPrefix(input, b), qt.IsTrue)
+		if err == nil {
+			qt.Assert(t, b, qt.HasLen, len(input))
+		}
+		pieces := &bufferConn{one: true}
+		pieces.input.Write(input)
+		inPieces, errInPieces := read(pieces)
+		qt.Assert(t, bytes.Equal(inPieces, b), qt.IsTrue)
+		qt.Assert(t, errInPieces == nil, qt.Equals, err == nil)
+	})
+}
