Tests of the gossiper: a valid link of TestMalformedLinkResponses does not end at once

Cause: the stand-in ended the response with its hello. When that arrived before the node had sent its own hello, the node sent on a stream that had ended, and rightly opened no link. The rows that are malformed never had an end.

Change: no response of a link ends, valid or not. The checks are the same.

--- a/internal/gossiper/malformedresponse_test.go
+++ b/internal/gossiper/malformedresponse_test.go
@@ -157,16 +157,19 @@
 // TestMalformedLinkResponses: a node opens no link over which a malformed response arrives.
 func TestMalformedLinkResponses(t *testing.T) {
 	hello := grpcMessage(t, &schema.Frame{Hello: testHello})
-	malformed := malformedBegins()
-	for name, r := range malformed {
-		r.data, r.open = hello, true
-		malformed[name] = r
+	// A link must not end before the node has sent its own hello.
+	asLink := func(responses map[string]scriptedResponse) map[string]scriptedResponse {
+		for name, r := range responses {
+			r.data, r.trailers, r.open = hello, nil, true
+			responses[name] = r
+		}
+		return responses
 	}
-	eachResponse(t, malformed, func(t *testing.T, g *Gossiper, address string) {
+	eachResponse(t, asLink(malformedBegins()), func(t *testing.T, g *Gossiper, address string) {
 		g.Dial(address)
 		qt.Assert(t, (<-g.Events()).Kind, qt.Equals, DialFailed)
 	})
-	eachResponse(t, validResponses(hello), func(t *testing.T, g *Gossiper, address string) {
+	eachResponse(t, asLink(validResponses(hello)), func(t *testing.T, g *Gossiper, address string) {
 		g.Dial(address)
 		qt.Assert(t, (<-g.Events()).Kind, qt.Equals, LinkOpened)
 	})
