--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -28,7 +28,7 @@
 	reportTimeout   = 500 * time.Millisecond
 	maxMessageBytes = 32 << 20
 	ioBufferBytes   = 4 << 10
-	// unbuffered reads a checkedConn, which has its own buffer.
+	// unbuffered is the size, in bytes, of the buffer that gRPC adds for reading a checkedConn, which has its own.
 	unbuffered = 0
 	// windowBytes is the fixed flow-control window. With a dynamic window, gRPC sends a ping with every few frames.
 	windowBytes    = 1 << 20
