Tests of the forwarder: varying time limits are no returns, with a chance of failure that is none

Cause: the test. A full service offers each call with a probability of 4 in as many calls as came within about a second, and 4. Over the second 200 calls that makes 2.7 on average, so that none is expected in one run of fifteen.

Change: ten services in place of one, and at least five offers to nodes for all. So the check is as strict as before where the fault is, and passes where it is not.

--- a/internal/forwarder/throttle_test.go
+++ b/internal/forwarder/throttle_test.go
@@ -98,9 +98,25 @@
 	qt.Assert(t, offers(nodes), qt.Equals, before)
 }
 
-// TestVaryingLimitsAreNotReturns fills a service for callers whose time limits are all different and below the route's timeout.
-// They are not taken for callers that come back early, of whom none would be offered to a node.
+// TestVaryingLimitsAreNotReturns fills services for callers whose time limits are all different and below the route's timeout.
+// They are not taken for callers that come back early, of whom none would be offered to a node. Of others a few are, at random:
+// between two and three for each service. Fewer than five for all are less likely than once in a million runs.
 func TestVaryingLimitsAreNotReturns(t *testing.T) {
+	const (
+		services  = 10
+		minOffers = 5
+	)
+	offered := 0
+	for range services {
+		offered += offersWhenFull(t)
+	}
+	qt.Assert(t, offered >= minOffers, qt.IsTrue, qt.Commentf("%d offers", offered))
+}
+
+// offersWhenFull fills a service for callers whose time limits vary, and returns how many of as many further calls the nodes
+// were offered.
+func offersWhenFull(t *testing.T) int {
+	t.Helper()
 	entry, nodes := fullMesh(t, func(_ string, w net.Conn) bool { return refuse(w, 503, "queue-full", "no") })
 	const calls = 200
 	send := func(i int) {
@@ -115,5 +131,5 @@
 	for i := range calls {
 		send(calls + i)
 	}
-	qt.Assert(t, offers(nodes) > before, qt.IsTrue)
+	return offers(nodes) - before
 }
