Forwarder: header fields are those of the parser, not copies of them

Change: messages hold parser.Field, and a response takes the fields of its head as they are. The head's parser is set anew after each response, so nothing else holds them. Behaviour is the same; nothing was measured.

--- a/internal/forwarder/aimleft_test.go
+++ b/internal/forwarder/aimleft_test.go
@@ -50,7 +50,7 @@
 	snapshot := &router.Snapshot{}
 	used := func(left string) (time.Duration, bool) {
 		x := &exchange{forwarder: f, snapshot: snapshot, route: &schema.Route{Name: "r", TimeoutMs: 2000}, startedAt: now,
-			request: request{message: &message{header: []field{{key: headerTimeLeft, value: left}}}}}
+			request: request{message: &message{header: fields(headerTimeLeft, left)}}}
 		x.deadline = x.callerDeadline()
 		return x.timeUsed()
 	}
--- a/internal/forwarder/conditionreport_test.go
+++ b/internal/forwarder/conditionreport_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/parser"
 )
 
 // headerOf returns a message with the header fields of a head.
@@ -14,7 +16,7 @@
 	m := &message{}
 	for _, line := range strings.Split(strings.TrimSpace(head), "\r\n") {
 		key, value, _ := strings.Cut(line, ": ")
-		m.header = append(m.header, field{key: key, value: value})
+		m.header = append(m.header, parser.Field{Key: key, Value: value})
 	}
 	return m
 }
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/parser"
 )
 
 // Headers of messages between nodes, and of responses to callers.
@@ -84,12 +86,6 @@
 // valueDraining is the only value of headerDraining.
 const valueDraining = "1"
 
-// field is one header field. Its key is in canonical form.
-type field struct {
-	key   string
-	value string
-}
-
 // message is the head of a request or a response.
 type message struct {
 	method string
@@ -97,7 +93,7 @@
 	proto  string
 	status int
 	reason string
-	header []field
+	header []parser.Field
 	// length is the body's length in bytes, or -1 if the head does not state it.
 	length  int64
 	chunked bool
@@ -112,8 +108,8 @@
 // get returns the value of the first header field with a key, or an empty string. Keys are compared in canonical form.
 func (m *message) get(key string) string {
 	for _, f := range m.header {
-		if f.key == key {
-			return f.value
+		if f.Key == key {
+			return f.Value
 		}
 	}
 	return ""
@@ -123,7 +119,7 @@
 func (m *message) count(key string) int {
 	n := 0
 	for _, f := range m.header {
-		if f.key == key {
+		if f.Key == key {
 			n++
 		}
 	}
@@ -164,14 +160,14 @@
 
 // forwarded returns the header fields to forward to the next hop. It leaves out hop-by-hop fields, this system's own
 // and the given ones.
-func (m *message) forwarded(without ...string) []field {
+func (m *message) forwarded(without ...string) []parser.Field {
 	connectionOptions := strings.ToLower(m.get(headerConnection))
-	kept := make([]field, 0, len(m.header))
+	kept := make([]parser.Field, 0, len(m.header))
 	for _, f := range m.header {
-		if isHopByHop(f.key) || strings.HasPrefix(f.key, headerPrefix) || slices.Contains(without, f.key) {
+		if isHopByHop(f.Key) || strings.HasPrefix(f.Key, headerPrefix) || slices.Contains(without, f.Key) {
 			continue
 		}
-		if connectionOptions != "" && hasConnectionOption(connectionOptions, f.key) {
+		if connectionOptions != "" && hasConnectionOption(connectionOptions, f.Key) {
 			continue
 		}
 		kept = append(kept, f)
@@ -196,9 +192,9 @@
 	b.WriteString("\r\n")
 }
 
-func writeFields(b *bytes.Buffer, fields []field) {
+func writeFields(b *bytes.Buffer, fields []parser.Field) {
 	for _, f := range fields {
-		writeField(b, f.key, f.value)
+		writeField(b, f.Key, f.Value)
 	}
 }
 
--- a/internal/forwarder/requesthead.go
+++ b/internal/forwarder/requesthead.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/tamarackpitch/tamarackpitch/internal/parser"
 )
 
 // The exported methods in this file implement nbhttp.Processor and nbhttp.ParserCloser.
@@ -69,7 +71,7 @@
 	if r.message != nil {
 		bytes = r.message.receivedBytes
 	}
-	r.message = &message{length: -1, receivedBytes: bytes, header: make([]field, 0, 12)}
+	r.message = &message{length: -1, receivedBytes: bytes, header: make([]parser.Field, 0, 12)}
 	return r.message
 }
 
@@ -115,7 +117,7 @@
 	case headerTransferEncoding:
 		r.message.chunked = true
 	}
-	r.message.header = append(r.message.header, field{key: key, value: strings.TrimRight(value, " \t")})
+	r.message.header = append(r.message.header, parser.Field{Key: key, Value: strings.TrimRight(value, " \t")})
 }
 
 func (r *reader) fail(kind Kind, detail string) {
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -168,13 +168,13 @@
 		x.logCall(f.callLog.failures, "call refused", "status", status, "reason", reason, "run", run)
 	}
 	text := reason + "\n"
-	m := &message{status: status, length: int64(len(text)), header: []field{
-		{key: "Content-Type", value: "text/plain"},
-		{key: headerRun, value: run},
-		{key: headerRefusal, value: reason},
+	m := &message{status: status, length: int64(len(text)), header: []parser.Field{
+		{Key: "Content-Type", Value: "text/plain"},
+		{Key: headerRun, Value: run},
+		{Key: headerRefusal, Value: reason},
 	}}
 	if retryAfter, ok := x.retryAfter(status); ok {
-		m.header = append(m.header, field{key: headerRetryAfter, value: retryAfter})
+		m.header = append(m.header, parser.Field{Key: headerRetryAfter, Value: retryAfter})
 	}
 	x.writeHead(m, true)
 	x.saved = nil
--- a/internal/forwarder/responsehead.go
+++ b/internal/forwarder/responsehead.go
@@ -23,11 +23,7 @@
 }
 
 func responseMessage(h *parser.Head) *message {
-	header := make([]field, len(h.Fields))
-	for i, f := range h.Fields {
-		header[i] = field{key: f.Key, value: f.Value}
-	}
-	return &message{proto: h.Proto, status: h.Status, reason: h.Reason, header: header, length: h.Length, chunked: h.Chunked,
+	return &message{proto: h.Proto, status: h.Status, reason: h.Reason, header: h.Fields, length: h.Length, chunked: h.Chunked,
 		hasLength: h.Length != parser.LengthUnstated}
 }
 
