--- a/internal/forwarder/malformedresponse_test.go
+++ b/internal/forwarder/malformedresponse_test.go
@@ -30,20 +30,10 @@
 		"interim response": c.InterimResponses(), "chunk size": c.ChunkSizes(), "trailer": c.Trailers()}
 }
 
-// writeModes are how a stand-in writes a response: in one piece or byte by byte.
-var writeModes = map[string]func(w io.Writer, text string){
-	"whole": func(w io.Writer, text string) { _, _ = io.WriteString(w, text) },
-	"byte by byte": func(w io.Writer, text string) {
-		for i := range len(text) {
-			_, _ = io.WriteString(w, text[i:i+1])
-		}
-	},
-}
-
 // forEachMalformed runs a test for each malformed response and way of writing it.
 func forEachMalformed(t *testing.T, test func(t *testing.T, text string, write func(io.Writer, string))) {
 	for kind, responses := range malformedResponses() {
-		for mode, write := range writeModes {
+		for mode, write := range corrupter.WriteModes() {
 			t.Run(kind+"/"+mode, func(t *testing.T) {
 				for _, m := range responses {
 					t.Run(m.Name, func(t *testing.T) { test(t, m.Text, write) })
@@ -164,7 +154,7 @@
 
 // TestUnusualResponses lets an upstream send responses that are rare and valid: the caller must get them.
 func TestUnusualResponses(t *testing.T) {
-	for mode, write := range writeModes {
+	for mode, write := range corrupter.WriteModes() {
 		for _, test := range []struct {
 			text   string
 			status int
--- a/internal/gossiper/malformedpeer_test.go
+++ b/internal/gossiper/malformedpeer_test.go
@@ -35,15 +35,14 @@
 type malformedPeer struct {
 	listener net.Listener
 	response scriptedResponse
-	// byteByByte sends each byte on its own.
-	byteByByte bool
+	write    func(w io.Writer, text string)
 }
 
-func newMalformedPeer(t *testing.T, r scriptedResponse, byteByByte bool) *malformedPeer {
+func newMalformedPeer(t *testing.T, r scriptedResponse, write func(io.Writer, string)) *malformedPeer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	p := &malformedPeer{listener: l, response: r, byteByByte: byteByByte}
+	p := &malformedPeer{listener: l, response: r, write: write}
 	t.Cleanup(func() { _ = l.Close() })
 	go p.run()
 	return p
@@ -68,7 +67,7 @@
 	reader := http2.NewFramer(io.Discard, c)
 	settings := &bytes.Buffer{}
 	_ = http2.NewFramer(settings, nil).WriteSettings()
-	p.send(c, settings.Bytes())
+	p.write(c, settings.String())
 	// The table of header compression lasts as long as the connection.
 	compressed := &bytes.Buffer{}
 	compressor := hpack.NewEncoder(compressed)
@@ -78,7 +77,7 @@
 			return
 		}
 		if h, ok := f.(*http2.HeadersFrame); ok {
-			p.send(c, p.frames(h.StreamID, compressor, compressed))
+			p.write(c, string(p.frames(h.StreamID, compressor, compressed)))
 		}
 	}
 }
@@ -113,18 +112,6 @@
 	return frames.Bytes()
 }
 
-func (p *malformedPeer) send(c net.Conn, b []byte) {
-	if !p.byteByByte {
-		_, _ = c.Write(b)
-		return
-	}
-	for i := range b {
-		if _, err := c.Write(b[i : i+1]); err != nil {
-			return
-		}
-	}
-}
-
 // grpcMessage returns a message with its prefix.
 func grpcMessage(t *testing.T, m proto.Message) []byte {
 	t.Helper()
--- a/internal/gossiper/malformedresponse_test.go
+++ b/internal/gossiper/malformedresponse_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/recorder"
+	"github.com/tamarackpitch/tamarackpitch/internal/standin/corrupter"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
@@ -124,14 +125,14 @@
 // eachResponse runs a test on each response, whole and byte by byte.
 func eachResponse(t *testing.T, responses map[string]scriptedResponse, test func(t *testing.T, g *Gossiper, address string)) {
 	for name, r := range responses {
-		for _, byteByByte := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s, byte by byte %t", name, byteByByte), func(t *testing.T) {
+		for mode, write := range corrupter.WriteModes() {
+			t.Run(mode+"/"+name, func(t *testing.T) {
 				t.Parallel()
 				g, err := New(Config{Listen: "127.0.0.1:0", Logger: hclog.NewNullLogger(), Clock: recorder.New("n", time.Now).Clock(),
 					Hello: func() *schema.Hello { return testHello }})
 				qt.Assert(t, err, qt.IsNil)
 				defer g.Close()
-				test(t, g, newMalformedPeer(t, r, byteByByte).listener.Addr().String())
+				test(t, g, newMalformedPeer(t, r, write).listener.Addr().String())
 			})
 		}
 	}
--- a/internal/requester/malformedresponse_test.go
+++ b/internal/requester/malformedresponse_test.go
@@ -50,20 +50,10 @@
 	return requester.New().Do(ctx, http.MethodGet, "http://"+address+"/", nil)
 }
 
-// writeModes are how a response is written: in one piece or byte by byte.
-var writeModes = map[string]func(c net.Conn, text string){
-	"whole": func(c net.Conn, text string) { _, _ = io.WriteString(c, text) },
-	"byte by byte": func(c net.Conn, text string) {
-		for i := range len(text) {
-			_, _ = io.WriteString(c, text[i:i+1])
-		}
-	},
-}
-
 // TestMalformedResponsesAreErrors sends responses that break the grammar: the caller, which decides from them what the log
 // holds, must get none of them.
 func TestMalformedResponsesAreErrors(t *testing.T) {
-	for mode, write := range writeModes {
+	for mode, write := range corrupter.WriteModes() {
 		for _, r := range corrupter.New(corrupter.Config{Fields: "Content-Type: application/json\r\n", Body: "[1,2]"}).All() {
 			t.Run(mode+"/"+r.Name, func(t *testing.T) {
 				response, err := get(serveRaw(t, func(c net.Conn) { write(c, r.Text) }))
@@ -87,7 +77,7 @@
 		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a\r\n[1\r\n3 \r\n,2]\r\n0\r\nX-A:\r\n\r\n", http.StatusOK},
 		{"empty values", "HTTP/1.1 200 OK\r\nX-Empty:\r\nX-Text: \xff\t\r\n" + fiveBytes, http.StatusOK},
 	}
-	for mode, write := range writeModes {
+	for mode, write := range corrupter.WriteModes() {
 		for _, test := range tests {
 			t.Run(mode+"/"+test.name, func(t *testing.T) {
 				response, err := get(serveRaw(t, func(c net.Conn) { write(c, test.text) }))
