Tests of the forwarder: the requests on a connection are read in one place

Change: requestsOn iterates over the requests, for all four. The swallower reads the bodies now, which are empty. No assertion differs.

--- a/internal/forwarder/malformedresponse_test.go
+++ b/internal/forwarder/malformedresponse_test.go
@@ -1,7 +1,6 @@
 package forwarder_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -108,14 +107,7 @@
 		t.Run(fmt.Sprintf("%.60q", malformed), func(t *testing.T) {
 			n := newNodeWith(t, "entry", sealedDialect())
 			publishOneConnection(t, n, func(c net.Conn) {
-				defer func() { _ = c.Close() }()
-				input := bufio.NewReader(c)
-				for {
-					r, err := http.ReadRequest(input)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
+				for r := range requestsOn(c) {
 					id := r.Header.Get("X-Id")
 					if id == "1" {
 						_, _ = io.WriteString(c, malformed)
--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"iter"
 	"net"
 	"net/http"
 	"strings"
@@ -287,15 +288,26 @@
 	return l.Addr().String()
 }
 
-func (p *scriptedPeer) serve(c net.Conn, s script) {
-	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
+// requestsOn iterates over the requests on a connection, each with its body read, and closes the connection in the end.
+func requestsOn(c net.Conn) iter.Seq[*http.Request] {
+	return func(yield func(*http.Request) bool) {
+		defer func() { _ = c.Close() }()
+		input := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(input)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if !yield(r) {
+				return
+			}
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
+	}
+}
+
+func (p *scriptedPeer) serve(c net.Conn, s script) {
+	for request := range requestsOn(c) {
 		operation := request.Header.Get("Tamarackpitch-Operation")
 		p.mu.Lock()
 		p.seen = append(p.seen, operation)
--- a/internal/forwarder/repeatedrefusal_test.go
+++ b/internal/forwarder/repeatedrefusal_test.go
@@ -1,7 +1,6 @@
 package forwarder_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -30,15 +29,8 @@
 }
 
 func (u *refusalRepeater) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
 	earlier := ""
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
+	for r := range requestsOn(c) {
 		id := r.Header.Get("X-Id")
 		if strings.HasPrefix(r.URL.Path, "/post/refused") {
 			earlier = strings.ReplaceAll(u.refusal, "%s", id)
--- a/internal/forwarder/swallowed_test.go
+++ b/internal/forwarder/swallowed_test.go
@@ -24,13 +24,7 @@
 )
 
 func (s swallower) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	input := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(input)
-		if err != nil {
-			return
-		}
+	for r := range requestsOn(c) {
 		if r.Header.Get("X-Id") == "1" {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\ndone")
 			continue
