Gossiper, parser: one rule for several values of Content-Length

Change: parser.AddLength is the rule for both. Which responses are refused is the same; the gossiper's log line has the parser's words for it, without the value.

--- a/internal/gossiper/response.go
+++ b/internal/gossiper/response.go
@@ -72,18 +72,17 @@
 
 // lengthOf returns the length of the body that a head states, or parser.LengthUnstated.
 func lengthOf(f *http2.MetaHeadersFrame) (int64, error) {
-	stated := int64(parser.LengthUnstated)
+	length := int64(parser.LengthUnstated)
 	for _, field := range f.RegularFields() {
 		if field.Name != lengthField {
 			continue
 		}
-		length, ok := parser.ParseLength(field.Value)
-		if !ok || stated != parser.LengthUnstated && stated != length {
-			return 0, fmt.Errorf("content-length %q", field.Value)
+		var err error
+		if length, err = parser.AddLength(length, field.Value); err != nil {
+			return 0, err
 		}
-		stated = length
 	}
-	return stated, nil
+	return length, nil
 }
 
 // addTrailers takes the trailers.
--- a/internal/parser/head.go
+++ b/internal/parser/head.go
@@ -78,7 +78,7 @@
 		var err error
 		switch f.Key {
 		case keyContentLength:
-			err = h.addLength(f.Value)
+			h.Length, err = AddLength(h.Length, f.Value)
 		case keyTransferEncoding:
 			err = h.addEncoding(f.Value)
 		}
@@ -103,17 +103,17 @@
 	return (h.Interim() || h.Status == http.StatusNoContent) && (h.Chunked || h.Length > 0)
 }
 
-// addLength takes a value of Content-Length. Further ones must state the same length.
-func (h *Head) addLength(value string) error {
-	length, ok := ParseLength(value)
+// AddLength returns the length of a body, in bytes, that a value of Content-Length states. stated is the length that earlier
+// fields of the head state, or LengthUnstated; another one contradicts it.
+func AddLength(stated int64, value string) (int64, error) {
+	length, ok := parseLength(value)
 	if !ok {
-		return malformedHead("Content-Length")
+		return stated, malformedHead("Content-Length")
 	}
-	if h.Length != LengthUnstated && h.Length != length {
-		return malformedHead("conflicting Content-Length fields")
+	if stated != LengthUnstated && stated != length {
+		return stated, malformedHead("conflicting Content-Length fields")
 	}
-	h.Length = length
-	return nil
+	return length, nil
 }
 
 // addEncoding takes a value of Transfer-Encoding. Only the chunked encoding is supported, once. The length is compared because
@@ -126,8 +126,8 @@
 	return nil
 }
 
-// ParseLength parses a length in bytes, which consists of digits only.
-func ParseLength(value string) (length int64, ok bool) {
+// parseLength parses a length in bytes, which consists of digits only.
+func parseLength(value string) (length int64, ok bool) {
 	if !isDigits(value) {
 		return 0, false
 	}
