Review case 10: after most machines are lost, a configuration is late on the rest

Cause: who reads the store after the readers are lost waits for the age of the last read and its rank among members that may be dead, or for the death of the readers; both can take longer than ConfigApplyS. Change: review/10 and its run. Nothing is fixed.

--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -10,7 +10,8 @@
 // run is a case. It reports whether the rule was broken.
 type run func(rec *record, dir string, trouble bool) (broken bool, err error)
 
-var runs = map[string]run{"leave-lost": runLeaveLost, "leaving-unseen": runLeavingUnseen, "foreign-beat": runForeignBeat, "members-grown": runMembersGrown}
+var runs = map[string]run{"leave-lost": runLeaveLost, "leaving-unseen": runLeavingUnseen, "foreign-beat": runForeignBeat, "members-grown": runMembersGrown,
+	"readers-lost": runReadersLost}
 
 func main() {
 	os.Exit(start())
