Soak: nodes get the settings of the deploy file's template as the platform fills it in

Cause: the soak of the users' platform took the template's lines without placeholders only. It left out flood-records: false and the log level, which stand behind the end of a section, and knew nothing of the first start. Change: FillTemplate of the platform's stand-in fills in a template as the platform's page describes, with sections, JSON and lists; the soak uses it, also at restarts, where FirstStart is false.

--- a/internal/standin/stutterer/soak.go
+++ b/internal/standin/stutterer/soak.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"os"
-	"strings"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -46,7 +46,7 @@
 type Config struct {
 	// Product is the path of the tamarackpitch program.
 	Product string
-	// Template is the path of the template of a node's settings. Lines with placeholders are left out.
+	// Template is the path of the template of a node's settings.
 	Template string
 	Output   io.Writer
 	// Seed determines requests, disruptions, and how an upstream treats each run.
@@ -64,9 +64,10 @@
 
 // Soak is one run of the soak.
 type Soak struct {
-	config   Config
-	dir      string
-	settings string
+	config Config
+	dir    string
+	// template is the template of a node's settings.
+	template string
 	// platform is the store that store serves.
 	platform     *standin.Store
 	store        *httptest.Server
@@ -111,11 +112,7 @@
 	if err != nil {
 		return err
 	}
-	for line := range strings.Lines(string(template)) {
-		if !strings.Contains(line, "{{") {
-			s.settings += line
-		}
-	}
+	s.template = string(template)
 	if err := s.versions.write(version{number: firstVersion}); err != nil {
 		return err
 	}
@@ -124,6 +121,7 @@
 	if err != nil {
 		return err
 	}
+	slices.Sort(addresses)
 	for i := range s.config.VMs {
 		v := newVM(s, i, addresses[addressesPerVM*i:])
 		s.vms = append(s.vms, v)
--- a/internal/standin/stutterer/vm.go
+++ b/internal/standin/stutterer/vm.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,8 +15,8 @@
 	"github.com/tamarackpitch/tamarackpitch/platform/standin"
 )
 
-// addressesPerVM is the number of addresses of a VM.
-const addressesPerVM = 7
+// addressesPerVM is the number of addresses of a VM. Two of them lie between control and admin, for renewals.
+const addressesPerVM = 9
 
 // vm is a VM with a node and an upstream. Only callInner, dial and presentNow are safe for concurrent use.
 type vm struct {
@@ -40,7 +42,7 @@
 
 func newVM(s *Soak, number int, a []string) *vm {
 	return &vm{soak: s, number: number, zone: fmt.Sprintf("zone-%d", number%zones), outbound: a[0], inbound: a[1], ready: a[2],
-		heartbeat: a[3], control: a[4], admin: a[5], upstreamAddress: a[6]}
+		heartbeat: a[3], control: a[4], admin: a[7], upstreamAddress: a[8]}
 }
 
 // start starts a new node and a new upstream, of a service.
@@ -51,12 +53,8 @@
 	v.started++
 	v.renew()
 	name := fmt.Sprintf("vm-%d-%d", v.number, v.started)
-	settings := fmt.Sprintf("%s\nname: %s\nzone: %s\nregion: r\nservice: %s\nlink-mbps: %d\nlog-url: %s\n", v.soak.settings, name, v.zone,
-		service, linksMbps[v.number%len(linksMbps)], v.soak.store.URL)
-	settings += fmt.Sprintf("listen: %q\npeer-listen: %q\nready-listen: %q\nupstream-listen: %q\ncontrol-listen: %q\nadmin-listen: %q\n",
-		v.outbound, v.inbound, v.ready, v.heartbeat, v.control, v.admin)
 	path := filepath.Join(v.soak.dir, name+".yaml")
-	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
+	if err := v.writeSettings(path, name, v.started == 1); err != nil {
 		return err
 	}
 	var err error
@@ -66,9 +64,27 @@
 	return v.startUpstream()
 }
 
+// writeSettings writes the settings of a node.
+func (v *vm) writeSettings(path, name string, firstStart bool) error {
+	control, admin := netip.MustParseAddrPort(v.control), netip.MustParseAddrPort(v.admin)
+	text, err := standin.FillTemplate(v.soak.template, map[string]any{
+		"NodeName": name, "Zone": v.zone, "Region": "r", "Service": v.service, "FirstStart": firstStart,
+		"Listen": map[string]any{"Outbound": v.outbound, "Inbound": v.inbound, "Ready": v.ready, "Control": v.heartbeat},
+		"Ip":     control.Addr().String(), "PortRange": []any{control.Port(), admin.Port()},
+		"Platform": map[string]any{"Address": strings.TrimPrefix(v.soak.store.URL, "http://")},
+		"Limits":   map[string]any{"LinkMbps": linksMbps[v.number%len(linksMbps)]}})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, []byte(text), 0o644)
+}
+
 // restart starts the node again, which must have ended.
 func (v *vm) restart() error {
 	v.renew()
+	if err := v.writeSettings(filepath.Join(v.soak.dir, v.node.Name+".yaml"), v.node.Name, false); err != nil {
+		return err
+	}
 	return v.node.Restart()
 }
 
