--- a/internal/app/dialect.go
+++ b/internal/app/dialect.go
@@ -24,7 +24,7 @@
 	headers forwarder.Dialect
 	reduce  controller.ReduceFunc
 	// handler serves the platform's requests to the node; nil for tamarackpitch's own protocol.
-	handler http.Handler
+	handler *platform.Handler
 	newLog  func(*requester.Requester) controller.ConfigLog
 }
 
@@ -33,7 +33,7 @@
 	url := c.Settings.LogURL
 	if c.Settings.Dialect == dialectPlatform {
 		return dialect{headers: platform.Dialect(), reduce: platform.Reduce,
-			handler: platform.NewHandler(platform.HandlerConfig{Logger: c.Logger, Controller: getController}),
+			handler: platform.NewHandler(platform.HandlerConfig{Logger: c.Logger, Controller: getController, Address: c.Settings.UpstreamListen}),
 			newLog: func(r *requester.Requester) controller.ConfigLog {
 				store := platform.NewStore(platform.StoreConfig{URL: url, Requester: r, Timeout: logTimeout, Logger: c.Logger})
 				return platform.NewConfigLog(platform.ConfigLogConfig{Store: store, Logger: c.Logger})
@@ -44,3 +44,11 @@
 			return logclient.NewConfigLog(logclient.New(logclient.Config{URL: url, Requester: r, Timeout: logTimeout}))
 		}}
 }
+
+// platformHandler returns the handler of the platform's requests, or nil.
+func (d dialect) platformHandler() http.Handler {
+	if d.handler == nil {
+		return nil
+	}
+	return d.handler
+}
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -98,7 +98,7 @@
 		return nil, err
 	}
 	admin := adminserver.New(adminserver.Config{Common: p.common, Controller: p.controller.Load,
-		Refusals: p.forwarder.Stats().Refusals, Platform: p.dialect.handler})
+		Refusals: p.forwarder.Stats().Refusals, Platform: p.dialect.platformHandler()})
 	if _, err := requester.NewEngine(admin, s.AdminListen, s.UpstreamListen, s.ReadyListen); err != nil {
 		return nil, err
 	}
@@ -107,6 +107,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// The listener of the overlay is open by now, so that its port is not taken for renewals.
+	p.listenForRenewals()
 	p.controller.Store(k)
 	if _, err := meterer.New(meterer.Config{Forwarder: p.forwarder, Controller: k}); err != nil {
 		return nil, err
--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
@@ -27,6 +28,13 @@
 	StartedUnixMs int64 `json:"started-unix-ms,omitempty"`
 	// Sequence grows with each announcement of an incarnation, so that stale ones are detected. 0 means unordered.
 	Sequence uint64 `json:"sequence,omitempty"`
+	// Renewal is that of the response to the upstream's last announcement, or 0.
+	Renewal uint32 `json:"renewal,omitempty"`
+}
+
+// incarnation returns the identity of the announced upstream.
+func (a Announcement) incarnation() balancer.Incarnation {
+	return balancer.Incarnation{Instance: a.Instance, StartedUnixMs: a.StartedUnixMs}
 }
 
 // coldStart returns the remaining time until the upstream is warm.
@@ -40,6 +48,10 @@
 	LeaseMs int64 `json:"lease-ms"`
 	// Draining is set if an operator or the node's shutdown drains the upstream, or its availability zone is evacuated.
 	Draining bool `json:"draining"`
+	// Renewal, unless 0, means that the announcement may be a late one of an upstream that has left under an earlier process of
+	// the node. The upstream gets no calls, but for a short time after the start of the node, until it has returned the value in
+	// its next announcement or, if it returns none, has gone on with its announcements for the time of a lease.
+	Renewal uint32 `json:"renewal,omitempty"`
 }
 
 const (
@@ -101,6 +113,17 @@
 		k.common.Logger.Info("stale announcement ignored", "instance", a.Instance, "sequence", a.Sequence)
 		return answer
 	}
+	confirmed := a.Draining || k.confirmation.confirms(a, now)
+	if !confirmed {
+		accepted := k.confirmation.acceptsUnconfirmed(now)
+		k.common.Logger.Info("announcement may be late, renewal requested",
+			"instance", a.Instance, "sequence", a.Sequence, "accepted", accepted)
+		answer.Renewal = k.confirmation.renewal
+		if !accepted {
+			return answer
+		}
+	}
+	k.lease.provisional = !confirmed
 	first := k.lease.announcement.Service == ""
 	newIncarnation := first || a.Instance != k.lease.announcement.Instance ||
 		a.StartedUnixMs != k.lease.announcement.StartedUnixMs
@@ -157,12 +180,14 @@
 	})
 }
 
-// expireLease removes the announcement from this node's own member once the lease has expired.
+// expireLease removes the announcement from this node's own member once the lease has expired, or the time for which an upstream
+// is accepted that is not confirmed.
 func (k *Controller) expireLease(now time.Time) {
-	if k.lease.announcement.Service == "" || now.Before(k.lease.expiresAt) {
+	unconfirmed := k.lease.provisional && !k.confirmation.acceptsUnconfirmed(now)
+	if k.lease.announcement.Service == "" || now.Before(k.lease.expiresAt) && !unconfirmed {
 		return
 	}
-	k.common.Logger.Warn("upstream lease expired", "service", k.lease.announcement.Service)
+	k.common.Logger.Warn("upstream lease expired", "service", k.lease.announcement.Service, "unconfirmed", unconfirmed)
 	k.recordEvent("upstream-lapsed", map[string]string{"service": k.lease.announcement.Service})
 	k.lease.clearAnnouncement()
 	k.snapshotCache.dirtyStatus = true
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,6 +5,7 @@
 package controller
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -75,6 +76,7 @@
 	// refusedUntil holds, for nodes that refused a link, until when they are not selected as neighbours.
 	refusedUntil map[string]time.Time
 	lease        lease
+	confirmation confirmation
 	// progress holds the merged progress of open rollouts, by name.
 	progress map[string]*schema.Progress
 	// controlled holds the rollouts that this node controls, by name.
@@ -161,6 +163,8 @@
 		nextRejoin:           now.Add(c.Common.Settings.RejoinInterval / 2),
 		readyCh:              make(chan struct{}),
 		lagTolerance:         pullGrace + randomUpTo(pullGrace),
+		confirmation: confirmation{firstStart: c.Common.Settings.FirstStart, startedAt: now, renewal: 1 + rand.Uint32N(math.MaxUint32),
+			maxDelay: c.Common.Settings.Lease},
 	}
 	k.eraWatch.logger = c.Common.Logger
 	k.digest = k.state.Digest()
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -13,6 +13,8 @@
 	expiresAt    time.Time
 	// announcedAt is when the announcement arrived.
 	announcedAt time.Time
+	// provisional is set while the announced upstream is not confirmed to have stayed; see confirmation.
+	provisional bool
 	// warmAt is the end of the upstream's cold start, as other nodes are told.
 	warmAt time.Time
 	// coldUntil is the end of the cold start by the last announcement. Announcements arrive late, never early, so the
--- a/internal/controller/lease_test.go
+++ b/internal/controller/lease_test.go
@@ -129,7 +129,7 @@
 		{"cold for longer", 7 * time.Second, 4 * time.Second, 11 * time.Second, false, false},
 		{"next incarnation, warm", 8 * time.Second, 0, 8 * time.Second, true, false},
 	}
-	run := int64(0)
+	run := start.UnixMilli()
 	for i, test := range tests {
 		if test.newRun {
 			run++
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -30,6 +30,8 @@
 	Dialect        string   `help:"Protocol of callers, upstreams and the log: own for tamarackpitch's own, platform for that of the users' platform." default:"own" enum:"own,platform"`
 	Service        string   `help:"Service of the upstream beside the node, if known in advance."`
 	UpstreamListen string   `help:"Address for heartbeats of the platform's upstream; empty for none."`
+	RenewalListen  []string `help:"First and last address of a range, IP:port, on one of which the node asks the platform's upstream to renew its first heartbeat; empty for none." name:"renewal-listen" sep:","`
+	FirstStart     bool     `help:"The mesh starts for the first time: no earlier process of the node can have acknowledged that its upstream leaves."`
 	ReadyListen    string   `help:"Address for the platform's readiness checks; empty for none."`
 	Peers          []string `help:"Control addresses of nodes to connect to at start, IP:port." name:"peer" sep:","`
 
@@ -105,6 +107,9 @@
 			return err
 		}
 	}
+	if err := n.checkRenewalRange(); err != nil {
+		return err
+	}
 	if u, err := url.Parse(n.LogURL); err != nil || u.Scheme != "http" || u.Host == "" {
 		return settingError("log-url", n.LogURL, "a URL such as http://10.0.0.1:8090")
 	}
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -48,6 +48,10 @@
 		{`--log-url="ftp://x": .*`, func(n *settings.Node) { n.LogURL = "ftp://x" }},
 		{`--suspect-after="1s": expected at least two heartbeats`, func(n *settings.Node) { n.SuspectAfter = time.Second }},
 		{`--readers="0": .*`, func(n *settings.Node) { n.Readers = 0 }},
+		{`--renewal-listen="127.0.0.1:5": expected two addresses .*`, func(n *settings.Node) { n.RenewalListen = []string{"127.0.0.1:5"} }},
+		{`--renewal-listen="127.0.0.1:6,127.0.0.1:5": .*`, func(n *settings.Node) { n.RenewalListen = []string{"127.0.0.1:6", "127.0.0.1:5"} }},
+		{`--renewal-listen="127.0.0.1:5,127.0.0.2:6": .*`, func(n *settings.Node) { n.RenewalListen = []string{"127.0.0.1:5", "127.0.0.2:6"} }},
+		{`--renewal-listen="here,127.0.0.2:6": .*`, func(n *settings.Node) { n.RenewalListen = []string{"here", "127.0.0.2:6"} }},
 		{`--lease="2h0m0s": .*`, func(n *settings.Node) { n.Lease = 2 * time.Hour }},
 	}
 	for _, test := range tests {
@@ -56,3 +60,10 @@
 		qt.Assert(t, n.Validate(), qt.ErrorMatches, test.want)
 	}
 }
+
+// TestRenewalAddresses checks that a range has its ends and what lies between.
+func TestRenewalAddresses(t *testing.T) {
+	qt.Assert(t, (&settings.Node{}).RenewalAddresses(), qt.HasLen, 0)
+	n := settings.Node{RenewalListen: []string{"127.0.0.1:5", "127.0.0.1:7"}}
+	qt.Assert(t, n.RenewalAddresses(), qt.DeepEquals, []string{"127.0.0.1:5", "127.0.0.1:6", "127.0.0.1:7"})
+}
--- a/internal/standin/stutterer/upstream.go
+++ b/internal/standin/stutterer/upstream.go
@@ -116,18 +116,13 @@
 	return http.StatusOK
 }
 
-// loop sends heartbeats to the node until the upstream ends. One that fails is made up for by the next.
+// loop sends heartbeats to the node until the upstream ends.
 func (u *upstream) loop() {
 	defer func() { u.done <- struct{}{} }()
-	client := http.Client{Timeout: heartbeatTimeout}
+	client := &http.Client{Timeout: heartbeatTimeout}
+	address := u.vm.heartbeat
 	for sequence := uint64(1); ; sequence++ {
-		h := standin.Heartbeat{ID: u.id, Address: u.vm.upstreamAddress, Service: u.service, Version: "v1", Zone: u.vm.zone,
-			Slots: slots, Sequence: sequence, Born: u.born}
-		if r, err := h.Request(u.vm.heartbeat); err == nil {
-			if response, err := client.Do(r); err == nil {
-				_ = response.Body.Close()
-			}
-		}
+		address = u.announce(client, address, sequence)
 		select {
 		case <-u.stop:
 			return
@@ -136,6 +131,26 @@
 	}
 }
 
+// announce sends a heartbeat to an address and returns that of the next one, which makes up for this one if it fails.
+func (u *upstream) announce(client *http.Client, address string, sequence uint64) string {
+	h := standin.Heartbeat{ID: u.id, Address: u.vm.upstreamAddress, Service: u.service, Version: "v1", Zone: u.vm.zone,
+		Slots: slots, Sequence: sequence, Born: u.born}
+	r, err := h.Request(address)
+	if err != nil {
+		return u.vm.heartbeat
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		return u.vm.heartbeat
+	}
+	defer func() { _ = response.Body.Close() }()
+	next, err := standin.NextAddress(response.Body, address)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return u.vm.heartbeat
+	}
+	return next
+}
+
 // resetConns resets all connections.
 func (u *upstream) resetConns() {
 	u.mu.Lock()
