--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"fmt"
 	"net/netip"
 	"time"
@@ -78,27 +77,25 @@
 	return ""
 }
 
-// Announce renews the lease of the local upstream. A stale announcement is ignored without an error.
+// Announce renews the lease of the local upstream. A stale announcement is ignored without an error. A draining one is a leave, for which
+// Announce waits as Withdraw does.
 func (k *Controller) Announce(a Announcement) (AnnouncementResponse, error) {
 	if reason := a.invalidReason(); reason != "" {
 		return AnnouncementResponse{}, &Error{Operation: "announce", Kind: KindInvalid, Detail: reason}
 	}
 	var answer AnnouncementResponse
-	ok := k.do(func() { answer = k.renewLease(a, time.Now()) })
+	var saved <-chan struct{}
+	ok := k.do(func() {
+		answer = k.renewLease(a, time.Now())
+		saved = k.leaveRecord.saved
+	})
 	if !ok {
 		return answer, errClosed("announce")
 	}
-	return answer, nil
-}
-
-// Withdraw records that an incarnation of the local upstream accepts no new work from now on. startedUnixMs is 0 if the
-// start is unknown. From the next routing snapshot on, the incarnation gets no new calls.
-func (k *Controller) Withdraw(instance string, startedUnixMs int64) error {
-	ok := k.do(func() { k.withdraw(instance, startedUnixMs) })
-	if !ok {
-		return errClosed("withdraw")
+	if a.Draining {
+		k.awaitSaved(a.Instance, saved)
 	}
-	return nil
+	return answer, nil
 }
 
 func errClosed(operation string) error {
@@ -148,21 +145,6 @@
 	return answer
 }
 
-// withdraw marks an incarnation as left, and saves this so that it holds after a restart of this node.
-func (k *Controller) withdraw(instance string, startedUnixMs int64) {
-	if startedUnixMs == 0 {
-		startedUnixMs = k.lease.startTime(instance)
-	}
-	if instance == "" || k.lease.hasLeft(instance, startedUnixMs) {
-		return
-	}
-	k.lease.markLeft(instance, startedUnixMs)
-	k.snapshotCache.dirtyStatus = true
-	k.common.Logger.Info("upstream leaving", "instance", instance)
-	k.updateSelfFromLease()
-	k.saveSelf()
-}
-
 // updateSelfFromLease copies the lease into this node's own member.
 func (k *Controller) updateSelfFromLease() {
 	a := k.lease.announcement
@@ -193,11 +175,3 @@
 	k.snapshotCache.dirtyStatus = true
 	k.updateSelfFromLease()
 }
-
-// saveSelf queues a write of this node's own member to the log, from which the next process of this node restores
-// which upstream incarnation has left.
-func (k *Controller) saveSelf() {
-	self := k.table.Self()
-	log := k.config.Log
-	k.appender.enqueue(appendJob{name: "self", write: func(ctx context.Context) error { return log.SaveMember(ctx, self) }})
-}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,7 @@
 	// refusedUntil holds, for nodes that refused a link, until when they are not selected as neighbours.
 	refusedUntil map[string]time.Time
 	lease        lease
+	leaveRecord  leaveRecord
 	confirmation confirmation
 	// progress holds the merged progress of open rollouts, by name.
 	progress map[string]*schema.Progress
@@ -272,6 +273,7 @@
 		k.maintainNeighbours(now)
 		k.redialAbsent(now)
 		k.performDuties(now)
+		k.writeLeave()
 	}
 	k.pullIfBehind(now)
 	k.updateLogReader(now)
--- a/internal/controller/erachange.go
+++ b/internal/controller/erachange.go
@@ -23,7 +23,7 @@
 	k.recordEvent("log-returned", map[string]string{"position-before": before.Position.String(), "position": next.Position.String()})
 	k.rewriteProgress(time.Now())
 	if k.lease.leftInstance != "" {
-		k.saveSelf()
+		k.saveLeave()
 	}
 	k.nextRejoin = time.Now().Add(randomUpTo(maxCompareDelay))
 }
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
 	"github.com/tamarackpitch/tamarackpitch/internal/router"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
@@ -55,6 +56,11 @@
 	return l.leftInstance != "" && l.leftInstance == instance && startedUnixMs <= l.leftUnixMs
 }
 
+// left returns the incarnation that has left last, or the zero value.
+func (l *lease) left() balancer.Incarnation {
+	return balancer.Incarnation{Instance: l.leftInstance, StartedUnixMs: l.leftUnixMs}
+}
+
 // draining reports whether the announced upstream accepts no new work.
 func (l *lease) draining() bool {
 	a := l.announcement
