--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -155,9 +155,10 @@
 		m.Draining = k.lease.draining() || k.draining
 		m.WarmUnixMs = k.lease.warmAt.UnixMilli()
 		m.Instance, m.InstanceUnixMs = a.Instance, a.StartedUnixMs
-		m.UpstreamLeft = k.lease.leftInstance != ""
+		m.UpstreamLeft = len(k.lease.leaves) > 0
 		if m.UpstreamLeft {
-			m.Instance, m.InstanceUnixMs = k.lease.leftInstance, k.lease.leftUnixMs
+			left := k.lease.lastLeave()
+			m.Instance, m.InstanceUnixMs = left.Instance, left.StartedUnixMs
 		}
 	})
 }
--- a/internal/controller/erachange.go
+++ b/internal/controller/erachange.go
@@ -22,7 +22,7 @@
 	k.logKept(next)
 	k.recordEvent("log-returned", map[string]string{"position-before": before.Position.String(), "position": next.Position.String()})
 	k.rewriteProgress(time.Now())
-	if k.lease.leftInstance != "" {
+	if len(k.lease.leaves) > 0 {
 		k.saveLeave()
 	}
 	k.nextRejoin = time.Now().Add(randomUpTo(maxCompareDelay))
--- a/internal/controller/joiner.go
+++ b/internal/controller/joiner.go
@@ -112,13 +112,10 @@
 // members. If the log names too few, it saves this node as a seed. It returns the named members without this node.
 func (k *Controller) applyDiscovery(d Discovery, now time.Time) []*schema.Member {
 	k.mergeSavedProgress(d.Progress)
+	k.restoreSavedLeave(d.Members)
 	self := k.table.Self()
 	var others []*schema.Member
 	for _, m := range d.Members {
-		if m.Node == self.Node {
-			k.lease.restoreLeave(m)
-			k.updateSelfFromLease()
-		}
 		if m.ControlAddress != self.ControlAddress {
 			others = append(others, m)
 		}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
@@ -21,12 +22,14 @@
 	// coldUntil is the end of the cold start by the last announcement. Announcements arrive late, never early, so the
 	// cold start does not end later, unless another one begins.
 	coldUntil time.Time
-	// leftInstance and leftUnixMs are the identity and start of the last incarnation that has left. It gets no new
-	// work, even if it is announced again. An incarnation with a later start is another one.
-	leftInstance string
-	leftUnixMs   int64
+	// leaves holds the incarnations that have left, the last one last, at most maxLeaves. They get no new work, even if they are
+	// announced again. An incarnation with a later start is another one.
+	leaves []balancer.Incarnation
 }
 
+// maxLeaves is the number of leaves that are remembered: those of the upstreams of which late announcements may still arrive.
+const maxLeaves = 8
+
 // isStale reports whether an announcement is older than the known one, or a duplicate of it.
 func (l *lease) isStale(a Announcement) bool {
 	known := l.announcement
@@ -48,17 +51,23 @@
 
 // markLeft records that an incarnation has left.
 func (l *lease) markLeft(instance string, startedUnixMs int64) {
-	l.leftInstance, l.leftUnixMs = instance, startedUnixMs
+	l.leaves = append(l.leaves, balancer.Incarnation{Instance: instance, StartedUnixMs: startedUnixMs})
+	l.leaves = l.leaves[max(0, len(l.leaves)-maxLeaves):]
 }
 
 // hasLeft reports whether an incarnation has left. Without a start time, only the identity is compared.
 func (l *lease) hasLeft(instance string, startedUnixMs int64) bool {
-	return l.leftInstance != "" && l.leftInstance == instance && startedUnixMs <= l.leftUnixMs
+	return slices.ContainsFunc(l.leaves, func(i balancer.Incarnation) bool {
+		return i.Instance == instance && startedUnixMs <= i.StartedUnixMs
+	})
 }
 
-// left returns the incarnation that has left last, or the zero value.
-func (l *lease) left() balancer.Incarnation {
-	return balancer.Incarnation{Instance: l.leftInstance, StartedUnixMs: l.leftUnixMs}
+// lastLeave returns the incarnation that has left last, or the zero value.
+func (l *lease) lastLeave() balancer.Incarnation {
+	if len(l.leaves) == 0 {
+		return balancer.Incarnation{}
+	}
+	return l.leaves[len(l.leaves)-1]
 }
 
 // draining reports whether the announced upstream accepts no new work.
@@ -85,11 +94,14 @@
 	l.announcement = Announcement{Instance: a.Instance, StartedUnixMs: a.StartedUnixMs, Sequence: a.Sequence}
 }
 
-// restoreLeave restores from this node's own member which incarnation an earlier process has recorded as left.
-func (l *lease) restoreLeave(m *schema.Member) {
-	if m.UpstreamLeft {
-		l.markLeft(m.Instance, m.InstanceUnixMs)
+// restoreLeave restores from this node's own member which incarnation an earlier process has recorded as left, before those that
+// this process has recorded. It reports whether that was not known.
+func (l *lease) restoreLeave(m *schema.Member) bool {
+	if !m.UpstreamLeft || m.Instance == "" || l.hasLeft(m.Instance, m.InstanceUnixMs) || len(l.leaves) == maxLeaves {
+		return false
 	}
+	l.leaves = slices.Insert(l.leaves, 0, balancer.Incarnation{Instance: m.Instance, StartedUnixMs: m.InstanceUnixMs})
+	return true
 }
 
 // local returns the local upstream, or nil. connectionLimit applies if the upstream announced no limit, but never below
--- a/internal/controller/lease_test.go
+++ b/internal/controller/lease_test.go
@@ -60,6 +60,45 @@
 	qt.Assert(t, unknown.draining(), qt.IsTrue)
 }
 
+// TestLaterLeaveIsNotForgotten guards against a leave that is forgotten since an earlier incarnation's leave arrives or is restored after
+// it: late announcements gave the later incarnation work again (rule DRAIN).
+func TestLaterLeaveIsNotForgotten(t *testing.T) {
+	tests := []struct {
+		name    string
+		earlier func(*lease)
+	}{
+		{"late leave", func(l *lease) { l.markLeft("a", 1000) }},
+		{"restored leave", func(l *lease) {
+			l.restoreLeave(&schema.Member{Instance: "a", InstanceUnixMs: 1000, UpstreamLeft: true})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := &lease{}
+			l.markLeft("b", 2000)
+			test.earlier(l)
+			l.announcement = testAnnouncement("b", 2000, 9)
+			qt.Assert(t, l.draining(), qt.IsTrue)
+			l.announcement = testAnnouncement("a", 1000, 9)
+			qt.Assert(t, l.draining(), qt.IsTrue)
+			l.announcement = testAnnouncement("c", 3000, 1)
+			qt.Assert(t, l.draining(), qt.IsFalse)
+		})
+	}
+}
+
+// TestOldestLeavesAreForgotten has more incarnations leave than are remembered.
+func TestOldestLeavesAreForgotten(t *testing.T) {
+	l := &lease{}
+	for i := range int64(maxLeaves + 1) {
+		l.markLeft("a", i)
+	}
+	qt.Assert(t, l.leaves, qt.HasLen, maxLeaves)
+	qt.Assert(t, l.lastLeave(), qt.Equals, balancer.Incarnation{Instance: "a", StartedUnixMs: maxLeaves})
+	l.restoreLeave(&schema.Member{Instance: "b", InstanceUnixMs: 1, UpstreamLeft: true})
+	qt.Assert(t, l.leaves, qt.HasLen, maxLeaves)
+}
+
 // TestMergedProgressInBothOrders merges two values in both orders, with the same result.
 func TestMergedProgressInBothOrders(t *testing.T) {
 	a := &schema.Progress{Rollout: "s", Step: 2, Epoch: 5, HeardUnixMs: 100, RolledBack: true, Reason: "slow",
--- a/internal/controller/leave.go
+++ b/internal/controller/leave.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
 
 // leaveSaveTimeout is how long the acknowledgement of a leave waits for the log. Upstreams need it within a second.
@@ -63,6 +64,25 @@
 	k.saveLeave()
 }
 
+// restoreLeave restores a leave from a record of this node's own member that an earlier process has written.
+func (k *Controller) restoreLeave(m *schema.Member) {
+	if !k.lease.restoreLeave(m) {
+		return
+	}
+	k.common.Logger.Info("leave of an earlier process restored", "instance", m.Instance)
+	k.snapshotCache.dirtyStatus = true
+	k.updateSelfFromLease()
+}
+
+// restoreSavedLeave restores the leave that this node's member record in the log holds.
+func (k *Controller) restoreSavedLeave(members []*schema.Member) {
+	for _, m := range members {
+		if m.Node == k.table.Self().Node {
+			k.restoreLeave(m)
+		}
+	}
+}
+
 // saveLeave has this node's member record saved, from which the next process of this node restores which upstream incarnation has left.
 // It is written until that has succeeded.
 func (k *Controller) saveLeave() {
@@ -77,7 +97,7 @@
 	if k.leaveRecord.saved == nil || k.leaveRecord.writing {
 		return
 	}
-	self, left, log := k.table.Self(), k.lease.left(), k.config.Log
+	self, left, log := k.table.Self(), k.lease.lastLeave(), k.config.Log
 	k.leaveRecord.writing = k.appender.enqueue(appendJob{name: "self",
 		write:    func(ctx context.Context) error { return log.SaveMember(ctx, self) },
 		onResult: func(err error) { k.handleLeaveWritten(left, err) }})
@@ -86,7 +106,7 @@
 // handleLeaveWritten handles the result of a write. If it failed, or another upstream has left since, tick queues the next one.
 func (k *Controller) handleLeaveWritten(left balancer.Incarnation, err error) {
 	k.leaveRecord.writing = false
-	if err != nil || left != k.lease.left() {
+	if err != nil || left != k.lease.lastLeave() {
 		return
 	}
 	close(k.leaveRecord.saved)
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -314,12 +314,9 @@
 // the log, which keeps it as well, may be unreachable.
 func (k *Controller) restoreUpstreamLeave(m *schema.Member) {
 	self := k.table.Self()
-	if m.GetNode() != self.Node || !m.UpstreamLeft || m.Incarnation >= self.Incarnation || k.lease.leftInstance != "" {
-		return
+	if m.GetNode() == self.Node && m.Incarnation < self.Incarnation {
+		k.restoreLeave(m)
 	}
-	k.lease.restoreLeave(m)
-	k.snapshotCache.dirtyStatus = true
-	k.updateSelfFromLease()
 }
 
 func statusName(s schema.MemberStatus) string {
