--- a/internal/controller/join_test.go
+++ b/internal/controller/join_test.go
@@ -51,6 +51,22 @@
 	qt.Assert(t, after, qt.IsTrue)
 }
 
+// TestSavedLeaveIsReadAfterStart guards against a leave in the log that a node never reads, since its neighbours made it ready before it had
+// read its own member record (rule DRAIN).
+func TestSavedLeaveIsReadAfterStart(t *testing.T) {
+	t.Parallel()
+	store := &fakeStore{seeds: map[string]*schema.Member{}}
+	n := startMeshNode(t, store, "n", "a")
+	await(t, 10*time.Second, "the node is ready", func() bool { return n.Status().Ready })
+	store.mu.Lock()
+	store.seeds["n"] = &schema.Member{Node: "n", Incarnation: 1, Instance: "i", InstanceUnixMs: 1000, UpstreamLeft: true}
+	store.mu.Unlock()
+	(&rejoiner{controller: n.Controller}).run()
+	var left bool
+	n.do(func() { left = n.lease.hasLeft("i", 1000) })
+	qt.Assert(t, left, qt.IsTrue)
+}
+
 // TestPeersWithoutLogReadDoNotMakeNodeReady checks that peers count towards readiness only if they know of a read of
 // the log: peers that have just started themselves may all lack the newest configuration.
 func TestPeersWithoutLogReadDoNotMakeNodeReady(t *testing.T) {
--- a/internal/controller/rejoiner.go
+++ b/internal/controller/rejoiner.go
@@ -21,7 +21,8 @@
 }
 
 // rejoiner looks once in the log for members that this node does not know, so that parts of the mesh that were
-// partitioned, or never connected, find each other. It also maintains the seeds and the outcomes of rollouts.
+// partitioned, or never connected, find each other. It also maintains the seeds and the outcomes of rollouts, and restores the leave
+// that an earlier process of this node has saved: a node may get ready without having read it.
 type rejoiner struct {
 	controller *Controller
 }
@@ -35,6 +36,7 @@
 		return
 	}
 	k.do(func() {
+		k.restoreSavedLeave(d.Members)
 		usable := k.table.Usable()
 		unknown := slices.DeleteFunc(slices.Clone(d.Members), func(m *schema.Member) bool { return containsAddress(usable, m) })
 		k.dialRandomMembers(unknown, time.Now())
