A node whose address is in use ends with an error instead of hanging at its start

Cause: nbhttp's engine doesn't return from Start if one of its listeners can't be opened. Change: NewEngine opens the listeners itself, all or none, and hands them to the engine; the renewal address needs no probe any more. Test: TestAddressInUseIsAnError; the same call hung for 5 s before, until the test gave up.

--- a/internal/app/renewal.go
+++ b/internal/app/renewal.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/requester"
 )
@@ -16,24 +15,12 @@
 		return
 	}
 	for _, i := range rand.Perm(len(addresses)) {
-		if !isFree(addresses[i]) {
-			continue
-		}
 		if _, err := requester.NewEngine(p.dialect.handler.RenewalHandler(), addresses[i]); err != nil {
-			p.common.Logger.Warn("address for renewals not available", "address", addresses[i], "reason", err)
-			return
+			p.common.Logger.Debug("address for renewals not available", "address", addresses[i], "reason", err)
+			continue
 		}
 		p.dialect.handler.SetRenewalAddress(addresses[i])
 		return
 	}
 	p.common.Logger.Warn("no address for renewals available", "renewal-listen", s.RenewalListen)
 }
-
-// isFree reports whether nothing listens on an address of this VM.
-func isFree(address string) bool {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	return l.Close() == nil
-}
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -8,21 +8,14 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
-	"strings"
 	"time"
-
-	"github.com/lesismal/nbio/logging"
-	"github.com/lesismal/nbio/nbhttp"
 )
 
 const (
 	// clientTimeout bounds every request. The context of a request may set a shorter timeout.
-	clientTimeout   = 15 * time.Second
-	handlerPoolSize = 64
-	// maxResponseBytes bounds the body of a response, and maxRequestBytes what an engine buffers of a request.
+	clientTimeout = 15 * time.Second
+	// maxResponseBytes bounds the body of a response.
 	maxResponseBytes = 32 << 20
-	maxRequestBytes  = 32 << 20
 )
 
 // Error reports a request without a complete response. The request may have taken effect.
@@ -63,19 +56,6 @@
 	}}
 }
 
-// NewEngine starts an engine that serves a handler on each non-empty address.
-func NewEngine(handler http.Handler, addresses ...string) (*nbhttp.Engine, error) {
-	logging.SetLevel(logging.LevelNone)
-	config := nbhttp.Config{Network: "tcp", NPoller: 1, Handler: handler, MessageHandlerPoolSize: handlerPoolSize,
-		ReadLimit: maxRequestBytes}
-	config.Addrs = slices.DeleteFunc(addresses, func(a string) bool { return a == "" })
-	engine := nbhttp.NewEngine(config)
-	if err := engine.Start(); err != nil {
-		return nil, &Error{Operation: "listen " + strings.Join(addresses, " "), Kind: "listen", Cause: err}
-	}
-	return engine, nil
-}
-
 // Do sends a request and waits for the whole response or the end of the context. Errors are of type *Error.
 func (r *Requester) Do(ctx context.Context, method, url string, body []byte) (Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
