--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -176,3 +176,8 @@
 	k.snapshotCache.dirtyStatus = true
 	k.updateSelfFromLease()
 }
+
+// endProvisionalLease is called when upstreams that are not confirmed are no longer accepted.
+func (k *Controller) endProvisionalLease() {
+	k.do(func() { k.expireLease(time.Now()) })
+}
--- a/internal/controller/confirmation.go
+++ b/internal/controller/confirmation.go
@@ -9,7 +9,7 @@
 // provisionalTime is how long after the start of a process an upstream gets calls without being confirmed. When many nodes restart,
 // nearly all upstreams are there still, and a call to one that has left is better than none at all. It outlasts an upstream's first
 // two announcements, and ends before the platform holds the node to what its earlier process has acknowledged.
-const provisionalTime = 2 * time.Second
+const provisionalTime = 2500 * time.Millisecond
 
 // confirmation decides whether an announcement shows that its upstream has not left. A process remembers the leaves that it has
 // acknowledged, but not those of an earlier process of its node that could save them nowhere. An announcement that was sent
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -188,6 +188,7 @@
 	go k.appender.run()
 	go k.reporter.run()
 	go (&joiner{controller: k}).run()
+	time.AfterFunc(provisionalTime, k.endProvisionalLease)
 	return k, nil
 }
 
