Soak: an upstream leaves, all nodes are killed, and late heartbeats arrive

Change: the disruption 'lose leave' of the soak of the users' platform has an upstream leave and kills all nodes as soon as that is acknowledged; two heartbeats from before arrive late, and a run that begins later than 3 s after the restart and 2 s after the acknowledgement is a violation. TestStutter passes in 6 of 6 runs, three at a time, at a load of up to 33.

--- a/internal/standin/stutterer/judge.go
+++ b/internal/standin/stutterer/judge.go
@@ -30,13 +30,15 @@
 	// RuleConfigurationWentBack is broken by a probe that is handled as only a version allows that is older than the one that an
 	// earlier answer of the same process has shown.
 	RuleConfigurationWentBack Rule = "configuration-went-back"
+	// RuleRunAfterLeave is broken by a run at an upstream that has left, after the time for which calls may still reach it.
+	RuleRunAfterLeave Rule = "run-after-leave"
 	// RuleNodeEnded is broken by a node that ends by itself.
 	RuleNodeEnded Rule = "node-ended"
 )
 
 // rules are all rules, in the order of the report.
 var rules = []Rule{RuleWrongResponse, RuleRunTwice, RuleUnrequested, RuleFalseRefusal, RuleRepeatedAtUpstream, RuleUnconfiguredRun,
-	RuleConfigurationLate, RuleConfigurationWentBack, RuleNodeEnded}
+	RuleConfigurationLate, RuleConfigurationWentBack, RuleRunAfterLeave, RuleNodeEnded}
 
 // violation is a rule that a request breaks.
 type violation struct {
--- a/internal/standin/stutterer/ledger.go
+++ b/internal/standin/stutterer/ledger.go
@@ -72,6 +72,13 @@
 	r.history.note("run %d: %s", r.number, text)
 }
 
+// addRunAfterLeave reports that a run began although its upstream had left.
+func (l *ledger) addRunAfterLeave(r *run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addViolation(violation{RuleRunAfterLeave, "at " + r.upstream}, "request", r.history.id, "timeline", r.history.timeline.String())
+}
+
 // addUnrequested records that a run's request differs from what its caller sent.
 func (l *ledger) addUnrequested(r *run, text string) {
 	l.mu.Lock()
--- a/internal/standin/stutterer/soak.go
+++ b/internal/standin/stutterer/soak.go
@@ -218,6 +218,21 @@
 	}
 }
 
+// restartNodes kills all nodes and starts them again after an outage.
+func (s *Soak) restartNodes(outage time.Duration) error {
+	for _, v := range s.vms {
+		v.setCalm(false)
+		v.node.Kill()
+	}
+	time.Sleep(outage)
+	for _, v := range s.vms {
+		if err := v.restart(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // close ends nodes, upstreams and store.
 func (s *Soak) close() {
 	for _, v := range s.vms {
--- a/internal/standin/stutterer/upstream.go
+++ b/internal/standin/stutterer/upstream.go
@@ -6,14 +6,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
-
-	"github.com/tamarackpitch/tamarackpitch/platform/standin"
 )
 
 const (
-	heartbeatInterval = 500 * time.Millisecond
-	heartbeatTimeout  = time.Second
 	// slots is how many requests an upstream runs at one time. Further ones wait for queueTime.
 	slots     = 8
 	queueTime = 100 * time.Millisecond
@@ -31,13 +28,18 @@
 	listener net.Listener
 	slots    chan struct{}
 	stop     chan struct{}
+	// silent ends the heartbeats.
+	silent chan struct{}
 	// done gets an element from run and one from loop at their ends.
-	done chan struct{}
-
-	mu      sync.Mutex
-	random  *rand.Rand
-	conns   map[*upstreamConn]bool
-	dialled int
+	done     chan struct{}
+	sequence atomic.Uint64
+
+	// mu guards the fields below. runsUntil is until when requests may be run, or zero.
+	mu        sync.Mutex
+	runsUntil time.Time
+	random    *rand.Rand
+	conns     map[*upstreamConn]bool
+	dialled   int
 }
 
 // startUpstream starts an incarnation of the upstream of a VM.
@@ -47,7 +49,8 @@
 		return nil, err
 	}
 	u := &upstream{vm: v, id: id, service: service, born: time.Now(), listener: l, slots: make(chan struct{}, slots), stop: make(chan struct{}),
-		done: make(chan struct{}, 2), random: rand.New(rand.NewPCG(v.soak.config.Seed, uint64(v.number))), conns: map[*upstreamConn]bool{}}
+		silent: make(chan struct{}),
+		done:   make(chan struct{}, 2), random: rand.New(rand.NewPCG(v.soak.config.Seed, uint64(v.number))), conns: map[*upstreamConn]bool{}}
 	go u.run()
 	go u.loop()
 	return u, nil
@@ -116,41 +119,6 @@
 	return http.StatusOK
 }
 
-// loop sends heartbeats to the node until the upstream ends.
-func (u *upstream) loop() {
-	defer func() { u.done <- struct{}{} }()
-	client := &http.Client{Timeout: heartbeatTimeout}
-	address := u.vm.heartbeat
-	for sequence := uint64(1); ; sequence++ {
-		address = u.announce(client, address, sequence)
-		select {
-		case <-u.stop:
-			return
-		case <-time.After(heartbeatInterval):
-		}
-	}
-}
-
-// announce sends a heartbeat to an address and returns that of the next one, which makes up for this one if it fails.
-func (u *upstream) announce(client *http.Client, address string, sequence uint64) string {
-	h := standin.Heartbeat{ID: u.id, Address: u.vm.upstreamAddress, Service: u.service, Version: "v1", Zone: u.vm.zone,
-		Slots: slots, Sequence: sequence, Born: u.born}
-	r, err := h.Request(address)
-	if err != nil {
-		return u.vm.heartbeat
-	}
-	response, err := client.Do(r)
-	if err != nil {
-		return u.vm.heartbeat
-	}
-	defer func() { _ = response.Body.Close() }()
-	next, err := standin.NextAddress(response.Body, address)
-	if err != nil || response.StatusCode != http.StatusOK {
-		return u.vm.heartbeat
-	}
-	return next
-}
-
 // resetConns resets all connections.
 func (u *upstream) resetConns() {
 	u.mu.Lock()
--- a/internal/standin/stutterer/upstreamconn.go
+++ b/internal/standin/stutterer/upstreamconn.go
@@ -67,6 +67,9 @@
 	defer u.leave()
 	l := u.vm.soak.ledger
 	run, ordinal := l.begin(id, u.id, u.service, c.name)
+	if !u.mayRun() {
+		l.addRunAfterLeave(run)
+	}
 	for _, text := range c.earlier {
 		l.note(run, "earlier on the connection: "+text)
 	}
