A node that shuts down while its reader is about to read no longer panics

Cause: readOnce used the state that the control goroutine hands over, although that goroutine may have ended: do then runs nothing. Change: a read of a closed node is an error. Test: TestReadOfClosedNodeIsAnError panicked before.

--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -91,7 +91,9 @@
 func (r *logReader) readOnce() error {
 	k := r.controller
 	var inForce *reducer.State
-	k.do(func() { inForce = k.state })
+	if !k.do(func() { inForce = k.state }) {
+		return errClosed("read")
+	}
 	position := inForce.Position
 	page, err := k.config.Log.Read(r.ctx, position, readWait)
 	if err == nil && page.Era.Stated && page.Era.Number < position.Era() {
