A ready node without a link keeps looking for members

Cause: a node that has read the configuration is ready, also without a link; then only the node with the duty looks for members, every rejoin interval, the first time after a half of it (5 s in these tests).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,7 +101,7 @@
 	// nextMaintenance is when neighbours are next maintained and absent members redialled.
 	nextMaintenance time.Time
 	nextRedial      time.Time
-	nextRejoin      time.Time
+	memberSearch    memberSearch
 	// nextRefusalDial is when dialAlternative may dial again.
 	nextRefusalDial      time.Time
 	stateSnapshotLimiter *rate.Limiter
@@ -161,9 +161,10 @@
 		evacuations:          evacuations{},
 		random:               rand.New(rand.NewPCG(c.Self.Incarnation, 1)),
 		stateSnapshotLimiter: rate.NewLimiter(stateSnapshotsPerSecond, stateSnapshotsPerSecond),
-		nextRejoin:           now.Add(c.Common.Settings.RejoinInterval / 2),
-		readyCh:              make(chan struct{}),
-		lagTolerance:         pullGrace + randomUpTo(pullGrace),
+		memberSearch: memberSearch{interval: c.Common.Settings.RejoinInterval,
+			next: now.Add(c.Common.Settings.RejoinInterval / 2)},
+		readyCh:      make(chan struct{}),
+		lagTolerance: pullGrace + randomUpTo(pullGrace),
 		confirmation: confirmation{firstStart: c.Common.Settings.FirstStart, startedAt: now, renewal: 1 + rand.Uint32N(math.MaxUint32),
 			maxDelay: c.Common.Settings.Lease},
 	}
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -26,9 +26,7 @@
 		k.duties = k.assignedDuties()
 		k.duties.revision = r
 	}
-	if k.duties.rejoins {
-		k.rejoin(now)
-	}
+	k.rejoin(now)
 	if k.duties.writesCheckpoints {
 		k.writeCheckpoint()
 	}
--- a/internal/controller/erachange.go
+++ b/internal/controller/erachange.go
@@ -25,7 +25,7 @@
 	if len(k.lease.leaves) > 0 {
 		k.saveLeave()
 	}
-	k.nextRejoin = time.Now().Add(randomUpTo(maxCompareDelay))
+	k.memberSearch.next = time.Now().Add(randomUpTo(maxCompareDelay))
 }
 
 // closeLinksWithoutEras closes the links to nodes of earlier versions of the program, which would take a position of this era
--- a/internal/controller/fakelog_test.go
+++ b/internal/controller/fakelog_test.go
@@ -18,6 +18,8 @@
 	mu      sync.Mutex
 	records []*schema.LogRecord
 	seeds   map[string]*schema.Member
+	// seedDelay is how long a write of a seed takes.
+	seedDelay time.Duration
 	// reads and writes count the calls, except to DeleteSeed.
 	reads, writes int
 	// epoch is the highest epoch of the saved progress, or one set by the test: lower ones are fenced.
@@ -171,6 +173,7 @@
 	if err := l.call(0, 1); err != nil {
 		return err
 	}
+	time.Sleep(l.store.seedDelay)
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
 	l.store.seeds[m.Node] = m
--- a/internal/controller/join_test.go
+++ b/internal/controller/join_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarackpitch/tamarackpitch/internal/gossiper"
 	"github.com/tamarackpitch/tamarackpitch/pkg/reducer"
 	"github.com/tamarackpitch/tamarackpitch/pkg/schema"
 )
@@ -107,6 +108,7 @@
 		}
 		d.Members = append(d.Members, n.table.Self())
 		d.Seeds = []string{"seed"}
+		n.links[&gossiper.Link{}] = &linkState{}
 		n.appender.cancel()
 		<-n.appender.done
 		for len(n.appender.jobs) > 0 {
@@ -114,6 +116,7 @@
 		}
 		n.maintainSeeds(d, n.table.Usable())
 		queued = len(n.appender.jobs)
+		clear(n.links)
 	})
 	qt.Assert(t, queued, qt.Equals, 1)
 }
--- a/internal/controller/rejoiner.go
+++ b/internal/controller/rejoiner.go
@@ -11,13 +11,11 @@
 // minSeeds is the number of usable members that the log should name, for starting nodes to find.
 const minSeeds = 8
 
-// rejoin starts a rejoiner at each rejoin interval once the node is ready.
+// rejoin starts a rejoiner whenever the node, once ready, has to search for members.
 func (k *Controller) rejoin(now time.Time) {
-	if now.Before(k.nextRejoin) || !k.start.ready {
-		return
+	if k.start.ready && k.memberSearch.isDue(len(k.links) > 0, k.duties.rejoins, k.random.Float64(), now) {
+		go (&rejoiner{controller: k}).run()
 	}
-	k.nextRejoin = now.Add(k.common.Settings.RejoinInterval)
-	go (&rejoiner{controller: k}).run()
 }
 
 // rejoiner looks once in the log for members that this node does not know, so that parts of the mesh that were
@@ -45,8 +43,8 @@
 	})
 }
 
-// maintainSeeds deletes the seeds of members that are dead or have left, and saves more if the log names fewer than
-// minSeeds usable members.
+// maintainSeeds deletes the seeds of members that are dead or have left, and saves more if the log names fewer than minSeeds usable
+// members. A node without a link deletes none: to it, all others may look dead.
 func (k *Controller) maintainSeeds(d Discovery, usable []*schema.Member) {
 	var live []*schema.Member
 	for _, m := range d.Members {
@@ -54,7 +52,7 @@
 		switch {
 		case containsAddress(usable, m):
 			live = append(live, m)
-		case known != nil && !isUsable(known) && slices.Contains(d.Seeds, m.Node):
+		case known != nil && !isUsable(known) && slices.Contains(d.Seeds, m.Node) && len(k.links) > 0:
 			k.deleteSeed(m)
 		}
 	}
