A new link brings after half a heartbeat what the neighbour knew before

Cause: a new link exchanges the two own members; the other members come once the tables have differed for two heartbeats. This wait is for updates in transit, and what was learned before the link existed is not.

Change: the comparison is a decision of its own, without a clock (membercomparison.go): the first one on a link waits for half a heartbeat.

--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -24,10 +24,8 @@
 	lastReceived time.Time
 	// coverage is the newest that the neighbour has reported. It is zero after the neighbour declined a pull as busy, until
 	// its next heartbeat.
-	coverage reducer.Coverage
-	// membersDifferSince is when the neighbour's member digest was first seen to differ from this node's; zero while
-	// they agree, and again once bucket digests were sent.
-	membersDifferSince time.Time
+	coverage   reducer.Coverage
+	comparison memberComparison
 	// suspected is set once the neighbour has been marked suspect for its silence; the next frame clears it.
 	suspected bool
 	// closing is set once the neighbour has announced that it will close the link.
@@ -63,7 +61,8 @@
 		k.refuseLink(l)
 		return
 	}
-	s := &linkState{node: node, lastReceived: now, coverage: coverageOf(l.Hello), takesEras: l.Hello.TakesEras}
+	s := &linkState{node: node, lastReceived: now, coverage: coverageOf(l.Hello), takesEras: l.Hello.TakesEras,
+		comparison: memberComparison{heartbeat: k.common.Settings.Heartbeat}}
 	k.links[l] = s
 	k.start.observePeer(node, s.coverage.Position, false)
 	// The first frame brings the neighbour this node's member, all rollout progress and all crash marks.
@@ -255,16 +254,9 @@
 	if reported == k.state.Coverage() && h.StateDigest != k.digest {
 		k.recordEvent("state-digest-mismatch", map[string]string{"neighbour": s.node})
 	}
-	if h.MemberDigest == k.table.Digest() {
-		s.membersDifferSince = time.Time{}
-		return
-	}
-	if s.membersDifferSince.IsZero() {
-		s.membersDifferSince = now
-	}
-	// Member updates in transit make tables differ briefly, so two heartbeats pass before buckets are compared.
-	if now.Sub(s.membersDifferSince) >= 2*k.common.Settings.Heartbeat || k.table.Len() < 3 {
-		s.membersDifferSince = time.Time{}
+	// A node that knows hardly any member compares at once.
+	differ := h.MemberDigest != k.table.Digest()
+	if s.comparison.isDue(differ, now) || differ && k.table.Len() < 3 {
 		f := k.frame()
 		f.BucketDigests = &schema.BucketDigests{Digests: k.table.BucketDigests()}
 		l.Send(f)
