--- a/internal/controller/configlog.go
+++ b/internal/controller/configlog.go
@@ -30,22 +30,11 @@
 	Era  LogEra
 }
 
-// Discovery is what the nodes of the mesh have saved in the log for starting nodes.
-type Discovery struct {
-	// Members are the nodes that may be dialled, each once. Only the control address is always set. The node's own
-	// member, if any, is the one that an earlier process passed to SaveMember.
-	Members []*schema.Member
-	// Seeds names the members that SaveSeed has saved and DeleteSeed can delete.
-	Seeds []string
-	// Progress is the rollout progress that the rollouts' controllers have saved.
-	Progress []*schema.Progress
-}
-
 // ConfigLog is the controller's access to the configuration log. All methods may be called from several goroutines.
 type ConfigLog interface {
 	// Newest returns the newest configuration, up to the end of the log, or only that end if the log does not retain it.
 	Newest(ctx context.Context) (NewestConfig, error)
-	// Discover returns the members to dial and the saved rollout progress.
+	// Discover returns the saved members and the saved rollout progress.
 	Discover(ctx context.Context) (Discovery, error)
 	// Read returns the records from a position on. It waits up to wait for the first one. In a log that has begun another
 	// era, the records are those at the same offset there.
--- a/internal/controller/fakelog_test.go
+++ b/internal/controller/fakelog_test.go
@@ -116,7 +116,7 @@
 	defer l.store.mu.Unlock()
 	var d Discovery
 	for _, m := range l.store.seeds {
-		d.Members = append(d.Members, m)
+		d.Seeds = append(d.Seeds, m)
 	}
 	if n := len(l.store.progress); n > 0 {
 		d.Progress = append(d.Progress, proto.CloneOf(l.store.progress[n-1]))
--- a/internal/controller/join_test.go
+++ b/internal/controller/join_test.go
@@ -104,17 +104,20 @@
 			left := proto.CloneOf(m)
 			left.Status = schema.MemberStatus_MEMBER_STATUS_LEFT
 			n.table.Merge(left, now)
-			d.Members = append(d.Members, m)
+			if name == "seed" {
+				d.Seeds = append(d.Seeds, m)
+			} else {
+				d.Saved = append(d.Saved, m)
+			}
 		}
-		d.Members = append(d.Members, n.table.Self())
-		d.Seeds = []string{"seed"}
+		d.Seeds = append(d.Seeds, n.table.Self())
 		n.links[&gossiper.Link{}] = &linkState{}
 		n.appender.cancel()
 		<-n.appender.done
 		for len(n.appender.jobs) > 0 {
 			<-n.appender.jobs
 		}
-		n.maintainSeeds(d, n.table.Usable())
+		n.maintainSeeds(d.Seeds, n.table.Usable())
 		queued = len(n.appender.jobs)
 		clear(n.links)
 	})
--- a/internal/controller/joiner.go
+++ b/internal/controller/joiner.go
@@ -28,7 +28,7 @@
 // ready.
 type joiner struct {
 	controller *Controller
-	// members are those named by the log, without this node.
+	// members are the candidates that the log names, without this node.
 	members []*schema.Member
 }
 
@@ -109,19 +109,19 @@
 }
 
 // applyDiscovery merges the saved rollout progress, restores what an earlier process of this node saved, and dials
-// members. If the log names too few, it saves this node as a seed. It returns the named members without this node.
+// members. If the log has too few seeds, it saves this node as one. It returns the candidates without this node.
 func (k *Controller) applyDiscovery(d Discovery, now time.Time) []*schema.Member {
 	k.mergeSavedProgress(d.Progress)
-	k.restoreSavedLeave(d.Members)
+	k.restoreSavedLeave(d)
 	self := k.table.Self()
 	var others []*schema.Member
-	for _, m := range d.Members {
+	for _, m := range d.candidates() {
 		if m.ControlAddress != self.ControlAddress {
 			others = append(others, m)
 		}
 	}
 	k.start.knowsMembers = k.start.knowsMembers || slices.ContainsFunc(others, canBeDialled)
-	if len(others) < minSeeds && !containsAddress(d.Members, self) {
+	if len(d.Seeds) < minSeeds && !containsAddress(d.Seeds, self) {
 		k.saveSeed(self)
 	}
 	k.dialIfIsolated(others, now)
--- a/internal/controller/leave.go
+++ b/internal/controller/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
@@ -74,9 +75,9 @@
 	k.updateSelfFromLease()
 }
 
-// restoreSavedLeave restores the leave that this node's member record in the log holds.
-func (k *Controller) restoreSavedLeave(members []*schema.Member) {
-	for _, m := range members {
+// restoreSavedLeave restores the leave that this node's member record in the log holds, or its seed.
+func (k *Controller) restoreSavedLeave(d Discovery) {
+	for _, m := range slices.Concat(d.Saved, d.Seeds) {
 		if m.Node == k.table.Self().Node {
 			k.restoreLeave(m)
 		}
--- a/internal/controller/rejoiner.go
+++ b/internal/controller/rejoiner.go
@@ -34,25 +34,25 @@
 		return
 	}
 	k.do(func() {
-		k.restoreSavedLeave(d.Members)
+		k.restoreSavedLeave(d)
 		usable := k.table.Usable()
-		unknown := slices.DeleteFunc(slices.Clone(d.Members), func(m *schema.Member) bool { return containsAddress(usable, m) })
+		unknown := slices.DeleteFunc(d.candidates(), func(m *schema.Member) bool { return containsAddress(usable, m) })
 		k.dialRandomMembers(unknown, time.Now())
-		k.maintainSeeds(d, usable)
+		k.maintainSeeds(d.Seeds, usable)
 		k.compareOutcomes(d.Progress, time.Now())
 	})
 }
 
-// maintainSeeds deletes the seeds of members that are dead or have left, and saves more if the log names fewer than minSeeds usable
+// maintainSeeds deletes the seeds of members that are dead or have left, and saves more if fewer than minSeeds of them are usable
 // members. A node without a link deletes none: to it, all others may look dead.
-func (k *Controller) maintainSeeds(d Discovery, usable []*schema.Member) {
+func (k *Controller) maintainSeeds(seeds, usable []*schema.Member) {
 	var live []*schema.Member
-	for _, m := range d.Members {
+	for _, m := range seeds {
 		known := k.table.Get(m.Node)
 		switch {
 		case containsAddress(usable, m):
 			live = append(live, m)
-		case known != nil && !isUsable(known) && slices.Contains(d.Seeds, m.Node) && len(k.links) > 0:
+		case known != nil && !isUsable(known) && len(k.links) > 0:
 			k.deleteSeed(m)
 		}
 	}
--- a/internal/logclient/configlog.go
+++ b/internal/logclient/configlog.go
@@ -27,7 +27,7 @@
 // Discover returns the distinct control addresses in the newest records of the join stream.
 func (l *ConfigLog) Discover(ctx context.Context) (controller.Discovery, error) {
 	members, err := l.members(ctx)
-	return controller.Discovery{Members: members}, err
+	return controller.Discovery{Seeds: members}, err
 }
 
 func (l *ConfigLog) members(ctx context.Context) ([]*schema.Member, error) {
