A leave whose write was under way when the log returned is written again

Change: such a write is marked as outdated; its success saves nothing, and the next tick of maintenance writes again.

Measured: TestLeaveIsSavedAgainAfterReturn fails on the state before and passes now, twice of two. No run with real processes shows this.

--- a/internal/controller/join_test.go
+++ b/internal/controller/join_test.go
@@ -148,3 +148,27 @@
 		qt.Assert(t, readAt.After(lagsSince), qt.Equals, position == records, qt.Commentf("position %d", position))
 	}
 }
+
+// TestLeaveIsSavedAgainAfterReturn begins an era of the log while the write of a leave runs: the copy that the log has returned from may lack
+// what that write appended, so its success saves nothing.
+func TestLeaveIsSavedAgainAfterReturn(t *testing.T) {
+	t.Parallel()
+	n := startMeshNode(t, &fakeStore{seeds: map[string]*schema.Member{}}, "n", "a")
+	var savedByFirst, savedBySecond bool
+	n.do(func() {
+		n.appender.cancel()
+		<-n.appender.done
+		n.withdraw("i", 1000)
+		left := n.lease.lastLeave()
+		n.saveLeave()
+		n.handleLeaveWritten(left, nil)
+		savedByFirst = n.leaveRecord.saved == nil
+		if !savedByFirst {
+			n.writeLeave()
+			n.handleLeaveWritten(left, nil)
+			savedBySecond = n.leaveRecord.saved == nil
+		}
+	})
+	qt.Assert(t, savedByFirst, qt.IsFalse)
+	qt.Assert(t, savedBySecond, qt.IsTrue)
+}
--- a/internal/controller/leave.go
+++ b/internal/controller/leave.go
@@ -18,6 +18,8 @@
 	saved chan struct{}
 	// writing is set while a write is queued or runs.
 	writing bool
+	// outdated is set if the write under way may precede what has to be saved: the log has returned from a copy since it was queued.
+	outdated bool
 }
 
 // Withdraw records that an incarnation of the local upstream accepts no new work from now on. startedUnixMs is 0 if the
@@ -90,6 +92,7 @@
 	if k.leaveRecord.saved == nil {
 		k.leaveRecord.saved = make(chan struct{})
 	}
+	k.leaveRecord.outdated = k.leaveRecord.writing
 	k.writeLeave()
 }
 
@@ -104,10 +107,12 @@
 		onResult: func(err error) { k.handleLeaveWritten(left, err) }})
 }
 
-// handleLeaveWritten handles the result of a write. If it failed, or another upstream has left since, tick queues the next one.
+// handleLeaveWritten handles the result of a write. If it failed or is outdated, or another upstream has left since, tick queues the next
+// one.
 func (k *Controller) handleLeaveWritten(left balancer.Incarnation, err error) {
-	k.leaveRecord.writing = false
-	if err != nil || left != k.lease.lastLeave() {
+	outdated := k.leaveRecord.outdated
+	k.leaveRecord.writing, k.leaveRecord.outdated = false, false
+	if err != nil || outdated || left != k.lease.lastLeave() {
 		return
 	}
 	close(k.leaveRecord.saved)
