A field that takes in a malformed status line of the next response is refused

Cause: a part of a second response that ends within a field makes one line with the status line after it.

Change: what may be a status line is found in any case, version, code and blanks; the exact check stays beside it. Fields that name the protocol as Via and Server do pass.

--- a/internal/parser/headparser.go
+++ b/internal/parser/headparser.go
@@ -101,7 +101,7 @@
 		p.done = true
 		return p.head.setBody()
 	}
-	if _, found := AfterStatusLine(text); found {
+	if _, found := AfterStatusLine(text); found || containsStatusLine(string(text)) {
 		return malformedHead("status line within a response head")
 	}
 	f, ok := parseField(string(text))
