A draining heartbeat of the announced incarnation counts whatever its sequence

Cause: a heartbeat that is late by its sequence was ignored but acknowledged, also if it said that the upstream drains. The higher sequence may be that of another writer.

Change: such a heartbeat is a leave of the announced incarnation, which does not come back. Other late ones are ignored as before.

--- a/internal/controller/announcement.go
+++ b/internal/controller/announcement.go
@@ -77,8 +77,8 @@
 	return ""
 }
 
-// Announce renews the lease of the local upstream. A stale announcement is ignored without an error. A draining one is a leave, for which
-// Announce waits as Withdraw does.
+// Announce renews the lease of the local upstream. A stale announcement is ignored without an error, unless it is a draining one of the
+// announced incarnation. A draining one is a leave, for which Announce waits as Withdraw does.
 func (k *Controller) Announce(a Announcement) (AnnouncementResponse, error) {
 	if reason := a.invalidReason(); reason != "" {
 		return AnnouncementResponse{}, &Error{Operation: "announce", Kind: KindInvalid, Detail: reason}
@@ -107,7 +107,11 @@
 	answer := AnnouncementResponse{LeaseMs: k.common.Settings.Lease.Milliseconds(),
 		Draining: k.state.DrainedNodes[k.table.Self().Node] || k.state.EvacuatedZones[k.table.Self().Zone] || k.leaving}
 	if k.lease.isStale(a) {
-		k.common.Logger.Info("stale announcement ignored", "instance", a.Instance, "sequence", a.Sequence)
+		if a.Draining && a.incarnation() == k.lease.announcement.incarnation() {
+			// It does not come back, whatever was announced after that. The sequence may be that of another writer.
+			k.withdraw(a.Instance, a.StartedUnixMs)
+		}
+		k.common.Logger.Info("stale announcement ignored", "instance", a.Instance, "sequence", a.Sequence, "draining", a.Draining)
 		return answer
 	}
 	confirmed := a.Draining || k.confirmation.confirms(a, now)
