--- a/internal/forwarder/condition.go
+++ b/internal/forwarder/condition.go
@@ -27,7 +27,7 @@
 	UpstreamCondition
 	inForce UpstreamCondition
 	cold    coldStart
-	// incarnation is the one that the condition applies to. It is the local upstream's, if there is one.
+	// incarnation is the one that the condition applies to: the local upstream's, or the last one's while none is announced.
 	incarnation balancer.Incarnation
 	// coldLogged reports whether the log last said that the upstream is cold.
 	coldLogged bool
@@ -41,10 +41,10 @@
 }
 
 // describesUpstream reports whether a response of the local upstream's address tells something about the upstream that
-// the call was addressed to, and that upstream is still the local one.
+// the call was addressed to, and the condition is still that upstream's. Its announcement may have lapsed: what an incarnation states
+// holds for as long as it lives.
 func (a *attempt) describesUpstream(m *message) bool {
-	l := a.exchange.forwarder.local.upstream
-	return l != nil && l.Incarnation() == a.incarnation && a.responseClass != responseInvalid &&
+	return a.exchange.forwarder.local.condition.incarnation == a.incarnation && a.responseClass != responseInvalid &&
 		m.status != http.StatusMisdirectedRequest
 }
 
@@ -167,5 +167,9 @@
 }
 
 func (f *Forwarder) recordUpstreamEvent(name string, fields map[string]string) {
-	f.common.Recorder.Record(recorder.Event{Name: name, Service: f.local.upstream.Service, Fields: fields})
+	var service string
+	if l := f.local.upstream; l != nil {
+		service = l.Service
+	}
+	f.common.Recorder.Record(recorder.Event{Name: name, Service: service, Fields: fields})
 }
