--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -57,18 +57,24 @@
 	writesCheckpoints bool
 }
 
+// assignedDuties assigns the reading of the log among the members that are alive, so that readers that were killed are replaced once they are
+// suspected, and the other duties among those that are suspect as well.
 func (k *Controller) assignedDuties() dutyState {
 	self := k.table.Self()
-	var zone, all []string
+	var zone, alive, all []string
 	for _, m := range k.table.Usable() {
 		all = append(all, m.Node)
+		if m.Status != schema.MemberStatus_MEMBER_STATUS_ALIVE {
+			continue
+		}
+		alive = append(alive, m.Node)
 		if m.Zone == self.Zone {
 			zone = append(zone, m.Node)
 		}
 	}
 	return dutyState{
 		designatedReader: ranker.InTop("log-reader/"+self.Zone, self.Node, k.common.Settings.Readers, zone),
-		standbyRank:      ranker.RankOf("log-standby", self.Node, all),
+		standbyRank:      ranker.RankOf("log-standby", self.Node, alive),
 		rejoins:          ranker.InTop("rejoiner", self.Node, 1, all),
 		writesCheckpoints: k.common.Settings.CheckpointEvery > 0 &&
 			ranker.InTop("checkpoint-writer", self.Node, 1, all),
