--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,6 +75,7 @@
 	lastDials map[string]time.Time
 	// refusedUntil holds, for nodes that refused a link, until when they are not selected as neighbours.
 	refusedUntil map[string]time.Time
+	linkLosses   linkLosses
 	lease        lease
 	leaveRecord  leaveRecord
 	confirmation confirmation
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -36,7 +36,7 @@
 func (k *Controller) updateLogReader(now time.Time) {
 	reads := k.readerRole.shouldRead(readerInputs{
 		designated: k.duties.designatedReader, standbyRank: k.duties.standbyRank, ready: k.start.ready,
-		links: len(k.links), freshness: k.freshness, startedAt: k.start.startedAt,
+		links: len(k.links), lostMost: k.linkLosses.areMost(len(k.links), now), freshness: k.freshness, startedAt: k.start.startedAt,
 		lag: k.lagTracker.lag(k.state.Position, k.newestNeighbourPosition(), now), lagTolerance: k.lagTolerance,
 	}, now)
 	if k.reader.setActive(reads) {
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -116,7 +116,11 @@
 	}
 	delete(k.links, l)
 	k.clearPull(l)
-	if !s.closing && !k.isLinked(s.node) {
+	if s.closing {
+		return
+	}
+	k.linkLosses.record(now)
+	if !k.isLinked(s.node) {
 		// A closed link does not prove that the node is down: dial again, and suspect the node if that fails.
 		if m := k.table.Get(s.node); m != nil && isUsable(m) {
 			k.dial(m.ControlAddress, now)
--- a/internal/controller/readerrole.go
+++ b/internal/controller/readerrole.go
@@ -2,9 +2,13 @@
 
 import "time"
 
+// lossTerm is how long a node goes on reading once it has not just lost most of its links any more.
+const lossTerm = 2 * time.Second
+
 // readerRole decides whether a node reads the log itself. Normally only the designated readers do, a few in each
 // availability zone; all other nodes get changes from their neighbours. Any node also reads while it has no link or
-// lags for too long, and takes over as a standby, in the order of the ranks, when no recent read of the log is known.
+// lags for too long, and takes over as a standby, in the order of the ranks, when no recent read of the log is known. A node
+// that has lost most of its links doesn't wait for that: what is left may be an island without a reader.
 type readerRole struct {
 	// standbyUntil is until when this node reads after it has taken over as a standby.
 	standbyUntil time.Time
@@ -23,6 +27,8 @@
 	freshness logFreshness
 	// startedAt is when the node started; it counts as the last read while none is known.
 	startedAt time.Time
+	// lostMost is set if the node has just lost most of its links.
+	lostMost bool
 	// lag is how long the node has been behind its neighbours. Beyond lagTolerance it reads the log itself.
 	lag, lagTolerance time.Duration
 }
@@ -40,8 +46,11 @@
 	if in.freshness.isKnown() {
 		lastRead = in.freshness.readAt
 	}
-	if now.Sub(lastRead) >= standbyDelay(in.standbyRank) {
+	switch {
+	case now.Sub(lastRead) >= standbyDelay(in.standbyRank):
 		r.standbyUntil = now.Add(standbyTerm)
+	case in.lostMost && r.standbyUntil.Before(now.Add(lossTerm)):
+		r.standbyUntil = now.Add(lossTerm)
 	}
 	return now.Before(r.standbyUntil)
 }
--- a/internal/controller/readerrole_test.go
+++ b/internal/controller/readerrole_test.go
@@ -23,6 +23,7 @@
 		{"old read, next standby", readerInputs{standbyRank: 3, ready: true, links: 3, freshness: stale}, false},
 		{"no links", readerInputs{ready: true, freshness: fresh}, true},
 		{"no known read yet", readerInputs{ready: true, links: 3, startedAt: now.Add(-time.Millisecond)}, false},
+		{"most links lost", readerInputs{standbyRank: 50, ready: true, links: 1, freshness: fresh, lostMost: true}, true},
 		{"lagging", readerInputs{ready: true, links: 3, freshness: fresh, lag: 2, lagTolerance: 1}, true},
 	}
 	for _, test := range tests {
@@ -45,6 +46,21 @@
 	qt.Assert(t, r.shouldRead(in, now.Add(standbyTerm)), qt.IsFalse)
 }
 
+// TestReadsAfterLossOfMostLinks checks that a node that has lost most of its links reads for lossTerm after that, and that a longer term as a
+// standby is not cut short.
+func TestReadsAfterLossOfMostLinks(t *testing.T) {
+	now := time.Unix(1000, 0)
+	lost := readerInputs{ready: true, links: 1, freshness: logFreshness{readAt: now}, lostMost: true}
+	calm := readerInputs{ready: true, links: 1, freshness: logFreshness{readAt: now.Add(standbyTerm)}}
+	var r readerRole
+	qt.Assert(t, r.shouldRead(lost, now), qt.IsTrue)
+	qt.Assert(t, r.shouldRead(calm, now.Add(lossTerm-1)), qt.IsTrue)
+	qt.Assert(t, r.shouldRead(calm, now.Add(lossTerm)), qt.IsFalse)
+	standby := readerRole{standbyUntil: now.Add(standbyTerm)}
+	qt.Assert(t, standby.shouldRead(lost, now), qt.IsTrue)
+	qt.Assert(t, standby.shouldRead(calm, now.Add(standbyTerm-1)), qt.IsTrue)
+}
+
 // TestReadAgeDoesNotShrinkInTransit passes the time of a read from node to node: without a further read its age must
 // grow, although reported ages leave out the transit time.
 func TestReadAgeDoesNotShrinkInTransit(t *testing.T) {
