--- a/internal/controller/confirmation.go
+++ b/internal/controller/confirmation.go
@@ -1,9 +1,12 @@
 package controller
 
 import (
+	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/tamarackpitch/tamarackpitch/internal/balancer"
+	"github.com/tamarackpitch/tamarackpitch/internal/settings"
 )
 
 // provisionalTime is how long after the start of a process an upstream gets calls without being confirmed. When many nodes restart,
@@ -36,6 +39,11 @@
 	announcedAt  time.Time
 }
 
+// newConfirmation returns the confirmation of a process that starts now.
+func newConfirmation(s settings.Node, now time.Time) confirmation {
+	return confirmation{firstStart: s.FirstStart, startedAt: now, renewal: 1 + rand.Uint32N(math.MaxUint32), maxDelay: s.Lease}
+}
+
 // confirms records an announcement and reports whether its upstream is confirmed. One that names no incarnation always is: its
 // leave is not remembered either.
 func (c *confirmation) confirms(a Announcement, now time.Time) bool {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,7 +5,6 @@
 package controller
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -166,8 +165,7 @@
 			next: now.Add(c.Common.Settings.RejoinInterval / 2)},
 		readyCh:      make(chan struct{}),
 		lagTolerance: pullGrace + randomUpTo(pullGrace),
-		confirmation: confirmation{firstStart: c.Common.Settings.FirstStart, startedAt: now, renewal: 1 + rand.Uint32N(math.MaxUint32),
-			maxDelay: c.Common.Settings.Lease},
+		confirmation: newConfirmation(c.Common.Settings, now),
 	}
 	k.eraWatch.logger = c.Common.Logger
 	k.digest = k.state.Digest()
--- a/internal/controller/rejoiner.go
+++ b/internal/controller/rejoiner.go
@@ -37,6 +37,9 @@
 		k.restoreSavedLeave(d)
 		usable := k.table.Usable()
 		unknown := slices.DeleteFunc(d.candidates(), func(m *schema.Member) bool { return containsAddress(usable, m) })
+		if len(k.links) == 0 {
+			k.common.Logger.Info("looked for members without a link", "seeds", len(d.Seeds), "saved", len(d.Saved), "unknown", len(unknown))
+		}
 		k.dialRandomMembers(unknown, time.Now())
 		k.maintainSeeds(d.Seeds, usable)
 		k.compareOutcomes(d.Progress, time.Now())
