Stand-ins: a program that does not start is not running

Cause: a process whose first start failed counted as running, so that the soak ended it and panicked in place of saying that the program is missing.

Measured: TestProcessThatDoesNotStart fails on the state before and passes now.

--- a/internal/standin/harness/process.go
+++ b/internal/standin/harness/process.go
@@ -40,10 +40,12 @@
 	p.command.Stderr = output
 	// The kernel kills the program if the harness dies, so that an aborted run leaves no processes.
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.exited = make(chan struct{})
 	if err := p.command.Start(); err != nil {
+		p.exitCode = -1
+		close(p.exited)
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
-	p.exited = make(chan struct{})
 	go p.run(p.command, p.exited)
 	return nil
 }
