A field with bytes that are not UTF-8 before "HTTP/" no longer panics

The upper case of bytes that are not UTF-8, and of some letters, has another length. An upstream's response could so end the parsing with "slice bounds out of range".

Change: the search for the protocol's name that NamesProtocol has serves both; it takes no copy. A field line is converted to a string once.

Measured: TestFieldsOfOtherEncodings panics on the state before and passes now.

--- a/internal/parser/foreignstatusline.go
+++ b/internal/parser/foreignstatusline.go
@@ -8,16 +8,13 @@
 //   - a version and a status code, whatever the code's length, also with another byte before it, unless it begins an address as in Via
 //   - a version 1 right after a byte that doesn't separate words.
 func containsStatusLine(line string) bool {
-	if !NamesProtocol(line) {
-		return false
-	}
 	for rest := line; ; {
-		i := strings.Index(strings.ToUpper(rest), protocolName+"/")
-		if i < 0 {
+		after, found := afterProtocol(rest)
+		if !found {
 			return false
 		}
-		before := line[:len(line)-len(rest)+i]
-		rest = rest[i+len(protocolName)+1:]
+		rest = after
+		before := line[:len(line)-len(rest)-len(protocolName+"/")]
 		version := rest[:len(rest)-len(strings.TrimLeft(rest, "0123456789."))]
 		if isVersion(version) && (beginsWithStatus(rest[len(version):]) || version[0] == '1' && !separatesWords(before)) {
 			return true
--- a/internal/parser/foreignstatusline_test.go
+++ b/internal/parser/foreignstatusline_test.go
@@ -33,3 +33,17 @@
 		})
 	}
 }
+
+// TestFieldsOfOtherEncodings has fields name the protocol after bytes that are not UTF-8, or whose upper case has another length.
+func TestFieldsOfOtherEncodings(t *testing.T) {
+	for _, text := range []string{"\xff\xff\xff\xff\xff\xff", "\u0131\u0131\u0131\u0131", "\u0250\u0250\u0250\u0250"} {
+		t.Run(text, func(t *testing.T) {
+			head, _, err := read([]byte("HTTP/1.1 204 No Content\r\nServer: "+text+" HTTP/\r\n\r\n"), 7)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, head, qt.IsNotNil)
+			head, _, err = read([]byte("HTTP/1.1 204 No Content\r\nServer: "+text+"http/1.1 200 OK\r\n\r\n"), 7)
+			qt.Assert(t, head, qt.IsNil)
+			qt.Assert(t, err, qt.IsNotNil)
+		})
+	}
+}
--- a/internal/parser/headparser.go
+++ b/internal/parser/headparser.go
@@ -101,10 +101,11 @@
 		p.done = true
 		return p.head.setBody()
 	}
-	if _, found := AfterStatusLine(text); found || containsStatusLine(string(text)) {
+	fieldLine := string(text)
+	if _, found := AfterStatusLine(text); found || containsStatusLine(fieldLine) {
 		return malformedHead("status line within a response head")
 	}
-	f, ok := parseField(string(text))
+	f, ok := parseField(fieldLine)
 	if !ok {
 		return malformedHead("line that is no field")
 	}
--- a/internal/parser/statusline.go
+++ b/internal/parser/statusline.go
@@ -40,13 +40,19 @@
 
 // NamesProtocol reports whether a text contains "HTTP/" in upper or lower case, as a status line does, also a malformed one.
 func NamesProtocol(text string) bool {
+	_, found := afterProtocol(text)
+	return found
+}
+
+// afterProtocol returns what follows the first "HTTP/" of a text, in upper or lower case.
+func afterProtocol(text string) (rest string, found bool) {
 	for {
 		before, after, found := strings.Cut(text, "/")
 		if !found {
-			return false
+			return "", false
 		}
 		if n := len(before) - len(protocolName); n >= 0 && strings.EqualFold(before[n:], protocolName) {
-			return true
+			return after, true
 		}
 		text = after
 	}
