TestSavedLeaveIsReadAfterStart: the saved leave stands where a node saves it, no seed replaces it

Cause: the test put the leave into the store as the node's seed. A node that finds too few seeds saves its own, without the leave, and does so beside the test: if that write lands between the test's and the read of the rejoiner, the leave is gone from the store. The platform can't lose it this way: SaveMember writes node/NAME, SaveSeed seed/NAME. So the fault is the test's, not the product's.

Change: the fake log keeps what SaveMember has saved apart from the seeds, as the platform does, and Discover returns it. The test saves the leave there, and waits until the node has saved its seed without a leave, which is the order that failed: stricter than before.

--- a/internal/controller/fakelog_test.go
+++ b/internal/controller/fakelog_test.go
@@ -18,6 +18,8 @@
 	mu      sync.Mutex
 	records []*schema.LogRecord
 	seeds   map[string]*schema.Member
+	// saved holds what nodes have saved of themselves, the newest of each node. As on the platform, no seed replaces it.
+	saved map[string]*schema.Member
 	// seedDelay is how long a write of a seed takes.
 	seedDelay time.Duration
 	// reads and writes count the calls, except to DeleteSeed.
@@ -56,6 +58,16 @@
 	return LogPage{Records: s.records[min(int(position), len(s.records)):], Next: reducer.Position(len(s.records))}
 }
 
+// saveMember replaces what a node has saved of itself.
+func (s *fakeStore) saveMember(m *schema.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.saved == nil {
+		s.saved = map[string]*schema.Member{}
+	}
+	s.saved[m.Node] = m
+}
+
 func (s *fakeStore) addCalls(reads, writes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,6 +130,9 @@
 	for _, m := range l.store.seeds {
 		d.Seeds = append(d.Seeds, m)
 	}
+	for _, m := range l.store.saved {
+		d.Saved = append(d.Saved, m)
+	}
 	if n := len(l.store.progress); n > 0 {
 		d.Progress = append(d.Progress, proto.CloneOf(l.store.progress[n-1]))
 	}
@@ -167,7 +182,13 @@
 
 func (l *fakeLog) Append(context.Context, *schema.Record) error { return l.call(0, 1) }
 
-func (l *fakeLog) SaveMember(context.Context, *schema.Member) error { return l.call(0, 1) }
+func (l *fakeLog) SaveMember(_ context.Context, self *schema.Member) error {
+	if err := l.call(0, 1); err != nil {
+		return err
+	}
+	l.store.saveMember(self)
+	return nil
+}
 
 func (l *fakeLog) SaveSeed(_ context.Context, m *schema.Member) error {
 	if err := l.call(0, 1); err != nil {
--- a/internal/controller/join_test.go
+++ b/internal/controller/join_test.go
@@ -59,9 +59,12 @@
 	store := &fakeStore{seeds: map[string]*schema.Member{}}
 	n := startMeshNode(t, store, "n", "a")
 	await(t, 10*time.Second, "the node is ready", func() bool { return n.Status().Ready })
-	store.mu.Lock()
-	store.seeds["n"] = &schema.Member{Node: "n", Incarnation: 1, Instance: "i", InstanceUnixMs: 1000, UpstreamLeft: true}
-	store.mu.Unlock()
+	store.saveMember(&schema.Member{Node: "n", Incarnation: 1, Instance: "i", InstanceUnixMs: 1000, UpstreamLeft: true})
+	await(t, 10*time.Second, "the node's seed, without a leave, is saved", func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return store.seeds["n"] != nil
+	})
 	(&rejoiner{controller: n.Controller}).run()
 	var left bool
 	n.do(func() { left = n.lease.hasLeft("i", 1000) })
