Fake log: a read whose wait ends returns one record at a time too, and a test that waits for it ends

Seen: with 40 copies of the test binary beside other tests (load 59 on 8 cores), one copy hung for 10 min in TestPartialReadOfLogIsNotFresh until it was ended by its time-out.

Cause: fakeLog.Read returned all records, whatever singleRecords says, if they came between its last look and the end of its wait. The node was then at the last position, no read asked for another record, and the test waited for one without a bound.

The trace of the hang had the reader at the last position, as this cause has it.

Change: the end of the wait takes the same limit, and the test waits 10 s at most for a read. No check is changed.

--- a/internal/controller/fakelog_test.go
+++ b/internal/controller/fakelog_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -153,7 +154,11 @@
 		time.Sleep(unreachableDelay)
 		return LogPage{}, errUnreachable
 	}
-	return l.store.from(from), ctx.Err()
+	p := l.store.from(from)
+	if err := ctx.Err(); err != nil || len(p.Records) == 0 {
+		return p, err
+	}
+	return l.limit(ctx, from, p)
 }
 
 // limit returns the page that was read from an offset or, while singleRecords is set, waits and returns one record.
@@ -172,6 +177,17 @@
 	return p, nil
 }
 
+// allowRecord has Read return the next record while singleRecords is set. It fails the test if no read waits for one.
+func (l *fakeLog) allowRecord(t *testing.T) {
+	t.Helper()
+	const bound = 10 * time.Second
+	select {
+	case *l.singleRecords.Load() <- struct{}{}:
+	case <-time.After(bound):
+		t.Fatalf("not within %v: a read waits for a record", bound)
+	}
+}
+
 func (l *fakeLog) Recover(ctx context.Context, _ *reducer.State, _ LogPage) (*reducer.State, error) {
 	newest, err := l.Newest(ctx)
 	if err != nil {
--- a/internal/controller/join_test.go
+++ b/internal/controller/join_test.go
@@ -144,7 +144,7 @@
 	var lagsSince time.Time
 	n.do(func() { lagsSince = time.Now() })
 	for position := reducer.Position(1); position <= records; position++ {
-		allowed <- struct{}{}
+		n.log.allowRecord(t)
 		m.awaitPosition(t, m.nodes, position)
 		var readAt time.Time
 		n.do(func() { readAt = n.freshness.readAt })
