Mesh tests of the controller say, when a bound is missed, what each node knows and whether the test itself got processor time

Change: the failure names the longest time between two polls that are to be 5 ms apart, and for each node its readiness with the reason, members, links, position and whether it reads the log; for nodes that may be frozen only what can be read without their control goroutine. No bound and no condition is changed.

--- a/internal/controller/mesh_test.go
+++ b/internal/controller/mesh_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -61,7 +62,7 @@
 	for i := range testZones * nodesPerZone {
 		m.nodes = append(m.nodes, startMeshNode(t, m.store, fmt.Sprintf("n%d", i), string(rune('a'+i%testZones))))
 	}
-	await(t, 10*time.Second, "all nodes are ready and know each other", func() bool {
+	awaitDescribed(t, 10*time.Second, "all nodes are ready and know each other", m.describe, func() bool {
 		return !slices.ContainsFunc(m.nodes, func(n *meshNode) bool {
 			s := n.Status()
 			return !s.Ready || s.Members < len(m.nodes)
@@ -70,6 +71,27 @@
 	return m
 }
 
+// describe returns a line for each node with what it knows. The nodes must not be frozen.
+func (m *testMesh) describe() string {
+	var lines strings.Builder
+	for _, n := range m.nodes {
+		s := n.Status()
+		fmt.Fprintf(&lines, "\n%s ready=%t reason=%q members=%d links=%d position=%d reads=%t", s.Node, s.Ready, s.Reason, s.Members, s.Links,
+			s.Position, s.LogReader)
+	}
+	return lines.String()
+}
+
+// describeSnapshots returns a line for each node with what it has in force. It runs no commands, so nodes may be frozen.
+func (m *testMesh) describeSnapshots() string {
+	var lines strings.Builder
+	for _, n := range m.nodes {
+		fmt.Fprintf(&lines, "\n%s position=%v reads=%t last-read-failed=%t", n.common.Settings.Name, n.Snapshot().Position, isReading(n),
+			n.reader.lastReadFailed.Load())
+	}
+	return lines.String()
+}
+
 func startMeshNode(t *testing.T, store *fakeStore, name, zone string) *meshNode {
 	t.Helper()
 	return startMeshNodeWith(t, store, name, zone, noEvidence{})
@@ -102,12 +124,23 @@
 // await polls a condition until it holds, and returns how long that took. It fails the test after bound.
 func await(t *testing.T, bound time.Duration, what string, holds func() bool) time.Duration {
 	t.Helper()
+	return awaitDescribed(t, bound, what, func() string { return "" }, holds)
+}
+
+// awaitDescribed is await with a description of the state for the failure. That also names the longest time between two polls, by which a
+// test that got no processor time is told from a mesh that is slow.
+func awaitDescribed(t *testing.T, bound time.Duration, what string, describe func() string, holds func() bool) time.Duration {
+	t.Helper()
+	const pause = 5 * time.Millisecond
 	began := time.Now()
-	for !holds() {
+	var longest time.Duration
+	for polled := began; !holds(); polled = time.Now() {
 		if time.Since(began) > bound {
-			t.Fatalf("not within %v: %s", bound, what)
+			t.Fatalf("not within %v: %s; up to %v between polls that are to be %v apart%s", bound, what, longest.Round(time.Millisecond), pause,
+				describe())
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(pause)
+		longest = max(longest, time.Since(polled))
 	}
 	return time.Since(began)
 }
@@ -127,7 +160,7 @@
 // runs no commands.
 func (m *testMesh) awaitPosition(t *testing.T, nodes []*meshNode, position reducer.Position) {
 	t.Helper()
-	await(t, inForceBound, fmt.Sprint("position ", position, " in force"), func() bool {
+	awaitDescribed(t, inForceBound, fmt.Sprint("position ", position, " in force"), m.describeSnapshots, func() bool {
 		return !slices.ContainsFunc(nodes, func(n *meshNode) bool { return n.Snapshot().Position < position })
 	})
 }
@@ -160,7 +193,7 @@
 func (m *testMesh) awaitSteadyState(t *testing.T) {
 	t.Helper()
 	m.awaitPosition(t, m.nodes, m.publish(1))
-	await(t, 15*time.Second, "one reader per zone", func() bool {
+	awaitDescribed(t, 15*time.Second, "one reader per zone", m.describe, func() bool {
 		readers, _ := m.partition(isReading)
 		return len(readers) == testZones
 	})
