TestPipelinedCallsBesideDrain: a pause of the test before it releases the first call no longer ends the drain

Cause, suspected since the statuses of that run were cut: the drain lasts 1.5 s, and the test's own steps up to the release of the first call count. Calls that start after its end are refused, which is right.

Change: the drain's time is longer by 10 s, and the test checks that the drain ends within the 1.5 s from the release on. No other check changed.

--- a/internal/forwarder/closing_test.go
+++ b/internal/forwarder/closing_test.go
@@ -65,6 +65,8 @@
 // TestPipelinedCallsBesideDrain pipelines calls of both kinds and one without a key before the node drains: each that ran is
 // answered, in order, the last response closes the connection, and none runs without a response.
 func TestPipelinedCallsBesideDrain(t *testing.T) {
+	// startTime is added to the drain's time: from the drain to the release of the first call the test itself may take that long.
+	const startTime = 10 * time.Second
 	running, leave := make(chan bool, 1), make(chan bool)
 	m := newCustomerMesh(t, customerDialect(), func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/get/slow" {
@@ -73,7 +75,7 @@
 		}
 		respondWithCustomer(w, r)
 	})
-	m.entry.common.Settings.DrainTimeout = drainTime
+	m.entry.common.Settings.DrainTimeout = startTime + drainTime
 	keys := map[string]string{"a": "secret1"}
 	m.publish(keys)
 	c := openCaller(t, m.entry)
@@ -86,9 +88,10 @@
 	snapshot := m.snapshot(keys)
 	snapshot.leaving, snapshot.timeoutMs = true, 500
 	m.entry.publish(snapshot)
-	go func() { drained <- m.entry.Drain(drainTime) }()
+	go func() { drained <- m.entry.Drain(startTime + drainTime) }()
 	eventually(t, "the node drains", func() bool { return do("GET", m.entry.url("/none"), "").err != nil })
 	close(leave)
+	released := time.Now()
 	var statuses []int
 	var closes []bool
 	for range 4 {
@@ -99,6 +102,7 @@
 	qt.Assert(t, closes, qt.DeepEquals, []bool{false, false, false, true})
 	qt.Assert(t, m.upstream.runs.Load(), qt.Equals, int64(3))
 	qt.Assert(t, <-drained, qt.IsTrue)
+	qt.Assert(t, time.Since(released) < drainTime, qt.IsTrue)
 }
 
 // TestRequestBehindRefusedOneIsNotRun sends, in one piece, a request that is refused at once with a closing response and
